--- /dev/null
+++ b/src/main/java/org/shoreusher/cli/Service.java
@@ -0,0 +1,116 @@
+package org.shoreusher.cli;
+
+import io.netty.channel.EventLoop;
+import io.netty.channel.nio.NioEventLoopGroup;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+import org.agrona.concurrent.ManyToOneConcurrentArrayQueue;
+import org.shoreusher.cloud.CloudClient;
+import org.shoreusher.core.Command;
+import org.shoreusher.core.Effect;
+import org.shoreusher.core.Node;
+import org.shoreusher.core.Reading;
+import org.shoreusher.peer.Peers;
+import org.shoreusher.settings.Settings;
+import org.shoreusher.settings.Tuning;
+import org.shoreusher.state.StateClient;
+import org.shoreusher.user.FrontServer;
+import org.shoreusher.worker.WorkerClient;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/**
+ * A running controller: the adapters, the queue of commands, and the core that works through it in
+ * batches, all on one event loop.
+ */
+public final class Service {
+    private static final Logger LOG = LoggerFactory.getLogger("shoreusher");
+
+    private final Settings settings;
+    private final Node node;
+    private final NioEventLoopGroup group = new NioEventLoopGroup(1);
+    private final EventLoop loop = group.next();
+    private final ManyToOneConcurrentArrayQueue<Command> queue = new ManyToOneConcurrentArrayQueue<>(Tuning.QUEUE);
+    private final List<Command> batch = new ArrayList<>(Tuning.BATCH);
+    private final StateClient state;
+    private final CloudClient cloud;
+    private final WorkerClient workers;
+    private final Peers peers;
+    private final FrontServer front;
+    private boolean working;
+
+    public Service(Settings settings, String owner) {
+        this.settings = settings;
+        node = new Node(settings, owner);
+        state = new StateClient(loop, settings, this::mustTake);
+        cloud = new CloudClient(loop, settings, this::mustTake);
+        workers = new WorkerClient(loop);
+        peers = new Peers(group, settings, this::take);
+        front = new FrontServer(group, settings, this::take);
+    }
+
+    /** Listens and works until the process ends. */
+    public void run() throws InterruptedException {
+        front.listen();
+        peers.listen();
+        LOG.info("serving: {} in {}, front {}, back {}", settings.host(), settings.zone(), settings.front(), settings.back());
+        loop.scheduleWithFixedDelay(() -> take(new Command.Tick()), 0, Tuning.TICK_MS, TimeUnit.MILLISECONDS);
+        if (LOG.isDebugEnabled()) {
+            loop.scheduleAtFixedRate(() -> LOG.debug(front.latency()), Tuning.LATENCY_LINE_S, Tuning.LATENCY_LINE_S, TimeUnit.SECONDS);
+        }
+        group.terminationFuture().sync();
+    }
+
+    private boolean take(Command command) {
+        if (!queue.offer(command)) {
+            return false;
+        }
+        wake();
+        return true;
+    }
+
+    /** Answers to own calls are never refused: the core waits for each of them. */
+    private void mustTake(Command command) {
+        while (!queue.offer(command)) {
+            work();
+        }
+        wake();
+    }
+
+    private void wake() {
+        if (!working) {
+            working = true;
+            loop.execute(this::work);
+        }
+    }
+
+    private void work() {
+        working = false;
+        queue.drainTo(batch, Tuning.BATCH);
+        List<Effect> effects = node.step(new Reading(TimeUnit.NANOSECONDS.toMillis(System.nanoTime()), System.currentTimeMillis()), batch);
+        batch.clear();
+        for (Effect effect : effects) {
+            carryOut(effect);
+        }
+        if (!queue.isEmpty()) {
+            wake();
+        }
+    }
+
+    private void carryOut(Effect effect) {
+        if (effect instanceof Effect.Answer e) {
+            front.answer(e);
+        } else if (effect instanceof Effect.StateCall e) {
+            state.call(e);
+        } else if (effect instanceof Effect.CloudCall e) {
+            cloud.call(e);
+        } else if (effect instanceof Effect.Orders e) {
+            workers.send(e);
+        } else if (effect instanceof Effect.Tell e) {
+            peers.tell(e.hint());
+        } else if (effect instanceof Effect.Log e) {
+            LOG.info(e.line());
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/org/shoreusher/cloud/CloudClient.java
@@ -0,0 +1,28 @@
+package org.shoreusher.cloud;
+
+import io.netty.channel.EventLoop;
+import java.util.function.Consumer;
+import org.shoreusher.core.Command;
+import org.shoreusher.core.Effect;
+import org.shoreusher.net.HttpCaller;
+import org.shoreusher.settings.Settings;
+import org.shoreusher.settings.Tuning;
+import org.shoreusher.wire.CloudFormat;
+import org.shoreusher.wire.StateFormat;
+
+/** Carries calls to the cloud's interface and brings back their answers. */
+public final class CloudClient {
+    private final HttpCaller caller;
+    private final Consumer<Command> core;
+
+    public CloudClient(EventLoop loop, Settings settings, Consumer<Command> core) {
+        caller = new HttpCaller(loop, settings.cloud());
+        this.core = core;
+    }
+
+    public void call(Effect.CloudCall call) {
+        StateFormat.Request request = CloudFormat.request(call.op());
+        caller.call(request.path(), request.body(), Tuning.CLOUD_TIMEOUT_MS,
+                (status, body) -> core.accept(new Command.CloudReply(call.call(), status, body)));
+    }
+}
--- /dev/null
+++ b/src/main/java/org/shoreusher/core/Fleet.java
@@ -0,0 +1,313 @@
+package org.shoreusher.core;
+
+import it.unimi.dsi.fastutil.objects.Object2LongOpenHashMap;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Set;
+import org.shoreusher.core.Command.CloudReply;
+import org.shoreusher.core.Command.ListPage;
+import org.shoreusher.core.Command.Listed;
+import org.shoreusher.core.Effect.CloudOp;
+import org.shoreusher.settings.Settings;
+import org.shoreusher.settings.Tuning;
+import org.shoreusher.wire.CloudFormat;
+import org.shoreusher.wire.Tree;
+
+/** Rents, returns and keeps track of the machines of one part. */
+final class Fleet {
+    /** A kind of machine as the cloud has or lacks it. */
+    private record Kind(String type, String zone, boolean spot) {
+    }
+
+    private final Part part;
+    private final Settings settings;
+    private final Outbox out;
+    private final Types types;
+    private final Object2LongOpenHashMap<Kind> refusedUntil = new Object2LongOpenHashMap<>();
+    /** Machines that lists show and no record does, with the moment they were first seen. */
+    private final Object2LongOpenHashMap<String> strays = new Object2LongOpenHashMap<>();
+    private long nextPlanMs;
+    private long nextListMs;
+    private long nextHire = 1;
+    private CloudOp.Rent renting;
+    private boolean rentInFlight;
+    private long rentAgainMs;
+    private boolean listing;
+    private boolean returning;
+    private long nextReturnMs;
+
+    Fleet(Part part, Settings settings, Outbox out, Types types) {
+        this.part = part;
+        this.settings = settings;
+        this.out = out;
+        this.types = types;
+    }
+
+    void step() {
+        if (!part.holds() || !types.known()) {
+            return;
+        }
+        rentAgain();
+        if (part.rebuilt() && out.now.steadyMs() >= nextPlanMs) {
+            nextPlanMs = out.now.steadyMs() + Tuning.RENT_EVERY_MS;
+            retire();
+            plan();
+        }
+        giveBack();
+        list();
+    }
+
+    // ---- renting -----------------------------------------------------------------------------
+
+    private void plan() {
+        List<Planner.Slot> slots = new ArrayList<>();
+        for (Machine m : part.machines().values()) {
+            if (part.available(m) || m.state == Machine.State.BOOTING) {
+                slots.add(new Planner.Slot(m));
+            }
+        }
+        Planner planner = new Planner(slots, part::cpusLeft, part::gpusLeft);
+        List<Job> jobs = part.ordered();
+        int had = slots.size();
+        for (Job job : jobs) {
+            if (job.suspect()) {
+                continue;
+            }
+            int wanted = wantedAtOnce(job);
+            MachineType type = cheapest(job.spec);
+            while (type != null && slots.size() < had + Tuning.RENT_AT_ONCE) {
+                int left = planner.place(job, wanted);
+                if (left <= 0) {
+                    break;
+                }
+                wanted = left;
+                Kind kind = kindFor(job.spec, type, slots, had);
+                if (kind == null) {
+                    break;
+                }
+                slots.add(new Planner.Slot(null, type, kind.zone, kind.spot, type.cpus(), type.gpus(), type.memGb()));
+            }
+        }
+        Set<Machine> needed = new HashSet<>();
+        planner.placed().forEach(p -> needed.add(p.slot().machine));
+        returnIdle(needed);
+        if (renting == null && slots.size() > had) {
+            // New slots were added behind; the planner has sorted them among the others since.
+            slots.removeIf(s -> s.machine != null);
+            Planner.Slot first = slots.get(0);
+            int count = 0;
+            for (Planner.Slot s : slots) {
+                if (s.type == first.type && s.zone.equals(first.zone) && s.spot == first.spot) {
+                    count++;
+                }
+            }
+            // The name contains the term, so no other owner and no restart can use it again.
+            renting = new CloudOp.Rent("part-" + part.n + "-" + part.term() + "-" + nextHire++, first.type.name(), first.zone, first.spot,
+                    Math.min(count, Tuning.RENT_AT_ONCE));
+            rentAgainMs = 0;
+            rentAgain();
+        }
+    }
+
+    /** How many tasks of a job should run at once, so that its work takes about the horizon. */
+    private int wantedAtOnce(Job job) {
+        double run = Math.max(1, job.spec.estimateS());
+        double horizon = Tuning.RENT_HORIZON_S;
+        double slack = job.slackS(out.now.wallMs());
+        if (slack < Double.MAX_VALUE) {
+            horizon = Math.min(horizon, Math.max(run, slack / 2));
+        }
+        return (int) Math.ceil(job.waitingCount * Math.min(1, run / horizon));
+    }
+
+    private MachineType cheapest(JobSpec spec) {
+        return types.all().stream().filter(t -> t.fits(spec)).min(Comparator.comparingDouble(t -> t.spotPrice() / Math.max(1, t.cpus()))).orElse(null);
+    }
+
+    /** Spot before ordinary, the zone with fewer of the part's machines first; null if all are refused. */
+    private Kind kindFor(JobSpec spec, MachineType type, List<Planner.Slot> slots, int had) {
+        Kind best = null;
+        double bestRank = Double.MAX_VALUE;
+        for (String zone : type.zones()) {
+            for (boolean spot : new boolean[] {true, false}) {
+                Kind kind = new Kind(type.name(), zone, spot);
+                if (spec.allows(type.name(), zone, spot) && refusedUntil.getLong(kind) <= out.now.steadyMs()) {
+                    double rank = (spot ? 0 : 1_000) + slots.stream().filter(s -> s.zone.equals(zone)).count();
+                    if (rank < bestRank) {
+                        bestRank = rank;
+                        best = kind;
+                    }
+                }
+            }
+        }
+        return best;
+    }
+
+    private void rentAgain() {
+        if (renting == null || rentInFlight || out.now.steadyMs() < rentAgainMs) {
+            return;
+        }
+        CloudOp.Rent rent = renting;
+        long askedWall = out.now.wallMs();
+        rentInFlight = out.cloud(rent, reply -> {
+            rentInFlight = false;
+            rented(rent, reply, askedWall);
+        });
+    }
+
+    private void rented(CloudOp.Rent rent, CloudReply reply, long askedWall) {
+        Kind kind = new Kind(rent.type(), rent.zone(), rent.spot());
+        if (reply.status() == 200) {
+            renting = null;
+            try {
+                List<String> names = CloudFormat.rented(new Tree(reply.body()));
+                out.log("rented: " + names.size() + " of " + rent.count() + " " + rent.type() + " in " + rent.zone() + (rent.spot() ? ", spot" : ", ordinary")
+                        + " for part " + part.n);
+                if (names.size() < rent.count()) {
+                    refusedUntil.put(kind, out.now.steadyMs() + Tuning.NO_CAPACITY_MS);
+                }
+                for (String id : names) {
+                    if (!part.lost() && !part.machines().containsKey(id)) {
+                        part.add(id, types.get(rent.type()), rent.zone(), rent.spot(), askedWall);
+                    }
+                }
+            } catch (Tree.Missing e) {
+                out.log("cloud: rental not understood: " + e.getMessage());
+            }
+        } else if (reply.status() == 503 && reply.body() != null && "no capacity".equals(reply.body().get("error"))) {
+            renting = null;
+            refusedUntil.put(kind, out.now.steadyMs() + Tuning.NO_CAPACITY_MS);
+        } else if (reply.status() == 400) {
+            renting = null;
+            out.log("cloud: refused the rental of " + rent.type() + " in " + rent.zone() + " as malformed");
+        } else {
+            // Without an answer it may have been carried out: only the same name is safe to repeat.
+            rentAgainMs = out.now.steadyMs() + Tuning.CLOUD_RETRY_MS;
+        }
+    }
+
+    // ---- returning ---------------------------------------------------------------------------
+
+    /** Marks machines that must not get more work: faulty, noticed, dead in their boot. */
+    private void retire() {
+        for (Machine m : part.machines().values()) {
+            long age = out.now.wallMs() - m.rentedWallMs;
+            if (m.state == Machine.State.BOOTING && age > Tuning.BOOT_PATIENCE * m.type.bootS() * 1000) {
+                out.log("retired: " + m.id + " did not come up in " + age / 1000 + " s");
+                m.state = Machine.State.DRAINING;
+            } else if (m.state == Machine.State.UP && m.failedJobs.size() >= Tuning.FAULTY_ERRORS) {
+                out.log("retired: " + m.id + ", tasks of " + m.failedJobs.size() + " jobs failed on it");
+                m.state = Machine.State.DRAINING;
+            } else if (m.state == Machine.State.UP && !Double.isNaN(m.noticeS) && m.tasks.isEmpty()) {
+                m.state = Machine.State.DRAINING;
+            } else if (m.state == Machine.State.UP && m.heard && m.tasks.isEmpty()
+                    && out.now.steadyMs() - m.reportedAtMs > PartLease.workerLeaseMs(settings) + Tuning.MIN_CHARGE_MS) {
+                out.log("retired: " + m.id + " has been silent for " + (out.now.steadyMs() - m.reportedAtMs) / 1000 + " s");
+                m.state = Machine.State.DRAINING;
+            }
+        }
+    }
+
+    private void returnIdle(Set<Machine> needed) {
+        for (Machine m : part.machines().values()) {
+            if (m.state == Machine.State.UP && m.tasks.isEmpty() && !needed.contains(m) && m.idleSinceMs >= 0
+                    && out.now.steadyMs() - m.idleSinceMs > Tuning.IDLE_KEEP_MS) {
+                m.state = Machine.State.DRAINING;
+            }
+        }
+    }
+
+    private void giveBack() {
+        if (returning || out.now.steadyMs() < nextReturnMs) {
+            return;
+        }
+        List<String> ids = new ArrayList<>();
+        for (Machine m : part.machines().values()) {
+            if ((m.state == Machine.State.DRAINING || m.state == Machine.State.RETURNING) && m.tasks.isEmpty() && ids.size() < Tuning.RETURN_AT_ONCE) {
+                // From here on nothing may start on it, whatever becomes of the call.
+                m.state = Machine.State.RETURNING;
+                ids.add(m.id);
+            }
+        }
+        if (ids.isEmpty()) {
+            return;
+        }
+        returning = out.cloud(new CloudOp.Return(List.copyOf(ids)), reply -> {
+            returning = false;
+            if (reply.status() != 200) {
+                nextReturnMs = out.now.steadyMs() + Tuning.CLOUD_RETRY_MS;
+                return;
+            }
+            for (String id : ids) {
+                Machine m = part.machines().get(id);
+                if (m != null) {
+                    part.gone(m, "returned");
+                }
+            }
+        });
+    }
+
+    // ---- the machine list --------------------------------------------------------------------
+
+    private void list() {
+        if (listing || out.now.steadyMs() < nextListMs) {
+            return;
+        }
+        readList(null, out.now, new ArrayList<>());
+    }
+
+    private void readList(String after, Reading askedAt, List<Listed> soFar) {
+        listing = out.cloud(new CloudOp.Listing(after), reply -> {
+            listing = false;
+            nextListMs = out.now.steadyMs() + Tuning.LIST_EVERY_MS;
+            if (reply.status() != 200 || part.lost()) {
+                return;
+            }
+            try {
+                ListPage page = CloudFormat.machines(new Tree(reply.body()));
+                soFar.addAll(page.machines());
+                if (page.more() && !page.machines().isEmpty()) {
+                    readList(page.machines().get(page.machines().size() - 1).id(), askedAt, soFar);
+                } else {
+                    listed(soFar, askedAt);
+                }
+            } catch (Tree.Missing e) {
+                out.log("cloud: machine list not understood: " + e.getMessage());
+            }
+        });
+    }
+
+    private void listed(List<Listed> all, Reading askedAt) {
+        Set<String> names = new HashSet<>();
+        for (Listed l : all) {
+            names.add(l.id());
+            Machine m = part.machines().get(l.id());
+            if (m != null && l.state().equals("failed")) {
+                part.stopped(m);
+            } else if (m == null && part.strayHere(l.id())) {
+                stray(l);
+            }
+        }
+        strays.keySet().retainAll(names);
+        // Lists are at most twice their lag old, and a machine once listed stays so until it is gone.
+        long shown = (long) (2 * settings.listLagS() * 1000) + Tuning.LIST_SLACK_MS;
+        for (Machine m : new ArrayList<>(part.machines().values())) {
+            if (!names.contains(m.id) && askedAt.wallMs() - m.rentedWallMs > shown && askedAt.steadyMs() - m.knownAtMs > shown) {
+                part.gone(m, "no longer in the cloud's list");
+            }
+        }
+    }
+
+    /** A machine of which no record tells: taken on once it is sure that no answer to a rental is still on its way. */
+    private void stray(Listed l) {
+        if (!strays.containsKey(l.id())) {
+            strays.put(l.id(), out.now.steadyMs());
+        } else if (out.now.steadyMs() - strays.getLong(l.id()) > 2 * Tuning.LIST_EVERY_MS) {
+            strays.removeLong(l.id());
+            out.log("adopted: " + l.id() + " in part " + part.n);
+            part.add(l.id(), types.get(l.type()), l.zone(), l.spot(), out.now.wallMs() - (long) (l.ageS() * 1000));
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/org/shoreusher/core/Job.java
@@ -0,0 +1,70 @@
+package org.shoreusher.core;
+
+import it.unimi.dsi.fastutil.ints.Int2ObjectOpenHashMap;
+import it.unimi.dsi.fastutil.objects.ObjectOpenHashSet;
+import java.util.BitSet;
+import org.shoreusher.settings.Tuning;
+
+/** An owner's knowledge of one of its jobs. Every task is waiting, live, or finished. */
+final class Job {
+    final String id;
+    final JobSpec spec;
+    final long acceptedMs;
+    /** Finished, as far as the owner knows. */
+    final BitSet done = new BitSet();
+    /** Finished, and durably recorded. */
+    BitSet durable = new BitSet();
+    final BitSet waiting = new BitSet();
+    /** Where each live task is; tasks that are only being hunted down are not here. */
+    final Int2ObjectOpenHashMap<Live> live = new Int2ObjectOpenHashMap<>();
+    final ObjectOpenHashSet<String> failedOn = new ObjectOpenHashSet<>();
+    /** Which record of finished tasks this job is in. */
+    int chunk = -1;
+    int waitingCount;
+    /** Final in the store, or taken away: nothing of it may start. */
+    boolean closed;
+    boolean finishing;
+    private int failures;
+    private long pausedUntilMs = Long.MIN_VALUE;
+
+    Job(String id, JobSpec spec, long acceptedMs) {
+        this.id = id;
+        this.spec = spec;
+        this.acceptedMs = acceptedMs;
+    }
+
+    void setWaiting(int index, boolean value) {
+        if (waiting.get(index) != value) {
+            waiting.set(index, value);
+            waitingCount += value ? 1 : -1;
+        }
+    }
+
+    boolean complete() {
+        return done.cardinality() >= spec.tasks();
+    }
+
+    boolean paused(long steadyMs) {
+        return steadyMs < pausedUntilMs;
+    }
+
+    /** A job whose every task fails is tried ever more rarely, until its user cancels it. */
+    void failed(String machine, long steadyMs) {
+        failedOn.add(machine);
+        failures++;
+        if (done.isEmpty() && failures > 1) {
+            long pause = Tuning.FAIL_PAUSE_MS << Math.min(failures - 2, 10);
+            pausedUntilMs = steadyMs + Math.min(pause, Tuning.FAIL_PAUSE_MAX_MS);
+        }
+    }
+
+    /** Whether its tasks have failed on several machines and succeeded on none. */
+    boolean suspect() {
+        return done.isEmpty() && failedOn.size() > 1;
+    }
+
+    /** Seconds until the deadline at the given time of day; large without one. */
+    double slackS(long wallMs) {
+        return Double.isNaN(spec.deadlineS()) ? Double.MAX_VALUE : spec.deadlineS() - (wallMs - acceptedMs) / 1000.0;
+    }
+}
--- /dev/null
+++ b/src/main/java/org/shoreusher/core/Machine.java
@@ -0,0 +1,89 @@
+package org.shoreusher.core;
+
+import it.unimi.dsi.fastutil.objects.Object2ObjectOpenHashMap;
+import it.unimi.dsi.fastutil.objects.ObjectOpenHashSet;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+
+/** An owner's knowledge of one machine of its part. */
+final class Machine {
+    /** How far it has come. */
+    enum State {
+        /** Rented; its worker has not reported yet. */
+        BOOTING,
+        /** Its worker reports, or did. */
+        UP,
+        /** Nothing is started on it any more; it is returned once empty. */
+        DRAINING,
+        /** Its return has been asked for and not yet confirmed. */
+        RETURNING
+    }
+
+    final String id;
+    final MachineType type;
+    final String zone;
+    final boolean spot;
+    final long rentedWallMs;
+    final long knownAtMs;
+    State state = State.BOOTING;
+    String address;
+    long session;
+    long seq;
+    /** steady ms of the newest report of this owner's term. */
+    long reportedAtMs = Long.MIN_VALUE / 2;
+    /** steady ms of the last moment at which a valid answer may have renewed the worker's lease. */
+    long answeredAtMs;
+    /** Whether the worker has reported to this owner since it took the part. */
+    boolean heard;
+    /** Whether tasks may have been started on it, by this owner or one before. */
+    boolean used;
+    /** Whether the record that says so is durable. */
+    boolean recordedUsed;
+    boolean recorded;
+    boolean recording;
+    double noticeS = Double.NaN;
+    long idleSinceMs = -1;
+    double cpusUsed;
+    double gpusUsed;
+    double memUsed;
+    final Object2ObjectOpenHashMap<String, Live> tasks = new Object2ObjectOpenHashMap<>();
+    /** Images its tasks have had, hence most likely cached. */
+    final ObjectOpenHashSet<String> images = new ObjectOpenHashSet<>();
+    /** Jobs that failed here since the last success. */
+    final ObjectOpenHashSet<String> failedJobs = new ObjectOpenHashSet<>();
+
+    Machine(String id, MachineType type, String zone, boolean spot, long rentedWallMs, long knownAtMs) {
+        this.id = id;
+        this.type = type;
+        this.zone = zone;
+        this.spot = spot;
+        this.rentedWallMs = rentedWallMs;
+        this.knownAtMs = knownAtMs;
+    }
+
+    static String taskKey(String job, int index) {
+        return job + "/" + index;
+    }
+
+    double cpusFree() {
+        return type.cpus() - cpusUsed;
+    }
+
+    double gpusFree() {
+        return type.gpus() - gpusUsed;
+    }
+
+    double memFree() {
+        return type.memGb() - memUsed;
+    }
+
+    /** A stable copy, for callers that change the tasks as they go. */
+    List<Live> tasksNow() {
+        return new ArrayList<>(tasks.values());
+    }
+
+    Map<String, Live> tasks() {
+        return tasks;
+    }
+}
--- /dev/null
+++ b/src/main/java/org/shoreusher/core/MachineType.java
@@ -0,0 +1,14 @@
+package org.shoreusher.core;
+
+import java.util.List;
+
+/** A type of machine as the cloud describes it; prices per hour. */
+public record MachineType(String name, double cpus, double gpus, double memGb, double cacheGb, double fetchGbPerS,
+                          double price, double spotPrice, double bootS, List<String> zones) {
+
+    /** Whether an empty machine of this type has room for one task. */
+    public boolean fits(JobSpec job) {
+        return job.cpus() <= cpus && job.gpus() <= gpus && job.memGb() <= memGb && (job.types() == null || job.types().contains(name))
+                && (job.zone() == null || zones.contains(job.zone()));
+    }
+}
--- /dev/null
+++ b/src/main/java/org/shoreusher/core/Mirror.java
@@ -0,0 +1,186 @@
+package org.shoreusher.core;
+
+import it.unimi.dsi.fastutil.objects.Object2LongOpenHashMap;
+import java.util.Map;
+import java.util.SortedMap;
+import java.util.TreeMap;
+import org.shoreusher.core.Command.StateReply;
+import org.shoreusher.core.Effect.StateOp;
+import org.shoreusher.settings.Tuning;
+import org.shoreusher.wire.StateFormat;
+import org.shoreusher.wire.Tree;
+
+/**
+ * This node's view of the store: read once page by page, then kept by one watch, and read again when
+ * the watch has fallen too far behind (410). Changes are applied by version, so pages, watches and
+ * the node's own writes may come in any order.
+ */
+final class Mirror {
+    /** One key. */
+    record Entry(Map<String, Object> value, long version) {
+    }
+
+    /** Told of every change; a null entry: the key is gone. */
+    interface Listener {
+        void changed(String key, Entry before, Entry after);
+    }
+
+    private final Outbox out;
+    private final Listener listener;
+    private final TreeMap<String, Entry> entries = new TreeMap<>();
+    /** Versions at which keys were removed, until the watch has passed them. */
+    private final Object2LongOpenHashMap<String> removed = new Object2LongOpenHashMap<>();
+    private boolean loading = true;
+    private boolean loaded;
+    private boolean busy;
+    private String page;
+    private TreeMap<String, Entry> incoming = new TreeMap<>();
+    private long startRevision;
+    private long revision;
+    private long needRevision;
+    private long freshAt = Long.MIN_VALUE / 2;
+    private long nextAt;
+
+    Mirror(Outbox out, Listener listener) {
+        this.out = out;
+        this.listener = listener;
+    }
+
+    /** Whether the view has been complete once. */
+    boolean loaded() {
+        return loaded;
+    }
+
+    /** The revision up to which every change is in the view. */
+    long revision() {
+        return loading ? -1 : revision;
+    }
+
+    /** ms since a moment at which the view was complete. */
+    long ageMs() {
+        return out.now.steadyMs() - freshAt;
+    }
+
+    Entry get(String key) {
+        return entries.get(key);
+    }
+
+    long version(String key) {
+        Entry e = entries.get(key);
+        return e == null ? 0 : e.version();
+    }
+
+    /** All keys that begin so. */
+    SortedMap<String, Entry> under(String prefix) {
+        return entries.subMap(prefix, prefix + Character.MAX_VALUE);
+    }
+
+    /** Applies a key as read or written; older news than what is known is dropped. */
+    void apply(String key, Map<String, Object> value, long version) {
+        Entry before = entries.get(key);
+        if ((before != null && before.version() >= version) || removed.getLong(key) >= version) {
+            return;
+        }
+        Entry after = value == null ? null : new Entry(value, version);
+        if (after == null) {
+            entries.remove(key);
+            if (version > revision) {
+                removed.put(key, version);
+            }
+        } else {
+            entries.put(key, after);
+        }
+        if (before != null || after != null) {
+            listener.changed(key, before, after);
+        }
+    }
+
+    /**
+     * Drops a key from memory. News from before its last version, which a watch may yet bring, must not
+     * bring it back: a done job would be taken for an open one.
+     */
+    void evict(String key) {
+        Entry e = entries.remove(key);
+        if (e != null && e.version() > revision) {
+            removed.put(key, e.version());
+        }
+    }
+
+    /** Issues the next page or watch when it is due. */
+    void step() {
+        if (busy || out.now.steadyMs() < nextAt) {
+            return;
+        }
+        long sentAt = out.now.steadyMs();
+        StateOp op = loading ? new StateOp.Page(page) : new StateOp.Watch(revision, Tuning.WATCH_BLOCK_MS);
+        busy = out.state(op, reply -> {
+            busy = false;
+            try {
+                replied(reply, sentAt);
+            } catch (Tree.Missing e) {
+                out.log("state: answer not understood: " + e.getMessage());
+                retry();
+            }
+        });
+    }
+
+    private void replied(StateReply reply, long sentAt) throws Tree.Missing {
+        if (reply.status() == 410) {
+            loading = true;
+            page = null;
+            incoming = new TreeMap<>();
+            return;
+        }
+        if (reply.status() != 200) {
+            retry();
+            return;
+        }
+        Tree body = new Tree(reply.body());
+        if (loading) {
+            paged(body);
+            return;
+        }
+        for (StateFormat.Entry change : StateFormat.changes(body)) {
+            apply(change.key(), change.value(), change.version());
+        }
+        revision = Math.max(revision, StateFormat.revision(body));
+        removed.object2LongEntrySet().removeIf(e -> e.getLongValue() <= revision);
+        if (revision >= needRevision) {
+            // The answer holds all changes up to its sending, so the view was complete when asked for.
+            freshAt = sentAt;
+            loaded = true;
+        }
+        nextAt = out.now.steadyMs() + Tuning.WATCH_GAP_MS;
+    }
+
+    private void paged(Tree body) throws Tree.Missing {
+        long at = StateFormat.revision(body);
+        if (page == null) {
+            startRevision = at;
+        }
+        for (StateFormat.Entry e : StateFormat.page(body)) {
+            incoming.put(e.key(), new Entry(e.value(), e.version()));
+            page = e.key();
+        }
+        if (StateFormat.more(body) && page != null) {
+            return;
+        }
+        // Pages are from different moments: watching on from the first page's revision repairs that.
+        for (String key : entries.keySet().toArray(new String[0])) {
+            if (!incoming.containsKey(key) && entries.get(key).version() <= startRevision) {
+                Entry before = entries.remove(key);
+                listener.changed(key, before, null);
+            }
+        }
+        TreeMap<String, Entry> all = incoming;
+        incoming = new TreeMap<>();
+        loading = false;
+        revision = startRevision;
+        needRevision = at;
+        all.forEach((key, e) -> apply(key, e.value(), e.version()));
+    }
+
+    private void retry() {
+        nextAt = out.now.steadyMs() + Tuning.STATE_RETRY_MS;
+    }
+}
--- /dev/null
+++ b/src/main/java/org/shoreusher/core/Part.java
@@ -0,0 +1,802 @@
+package org.shoreusher.core;
+
+import it.unimi.dsi.fastutil.objects.Object2DoubleOpenHashMap;
+import it.unimi.dsi.fastutil.objects.Object2ObjectLinkedOpenHashMap;
+import it.unimi.dsi.fastutil.objects.Object2ObjectOpenHashMap;
+import it.unimi.dsi.fastutil.objects.ObjectOpenHashSet;
+import java.util.ArrayList;
+import java.util.BitSet;
+import java.util.Comparator;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import org.shoreusher.core.Command.StateReply;
+import org.shoreusher.core.Effect.StateOp;
+import org.shoreusher.core.Keys.JobRecord;
+import org.shoreusher.core.Keys.JobStatus;
+import org.shoreusher.core.Keys.MachineRecord;
+import org.shoreusher.core.Keys.PartRecord;
+import org.shoreusher.core.WorkerReport.Cause;
+import org.shoreusher.core.WorkerReport.TaskReport;
+import org.shoreusher.core.WorkerReport.TaskState;
+import org.shoreusher.settings.Settings;
+import org.shoreusher.settings.Tuning;
+import org.shoreusher.wire.StateFormat;
+import org.shoreusher.wire.Tree;
+import org.shoreusher.wire.WorkerFormat;
+
+/**
+ * A part this node owns: its lease, jobs and machines. Exists from a successful takeover until the
+ * part is lost.
+ *
+ * <p>Promises: a task is started only in the answer to the newest report of its machine, only under an
+ * unexpired lease, and only when no machine can have it. Every write is guarded by the part's fence,
+ * so a write that arrives after another takeover changes nothing.
+ */
+final class Part {
+    final int n;
+    private final Settings settings;
+    private final Outbox out;
+    private final Mirror mirror;
+    private final Types types;
+    private final String owner;
+    private final PartLease lease;
+    private final long takenAtMs;
+    private final long takenRevision;
+    private final Fleet fleet;
+    private final Object2ObjectLinkedOpenHashMap<String, Job> jobs = new Object2ObjectLinkedOpenHashMap<>();
+    private final Object2ObjectOpenHashMap<String, Machine> machines = new Object2ObjectOpenHashMap<>();
+    private final Object2DoubleOpenHashMap<String> teamCpus = new Object2DoubleOpenHashMap<>();
+    private final Object2DoubleOpenHashMap<String> teamGpus = new Object2DoubleOpenHashMap<>();
+    private final ObjectOpenHashSet<String> dirtyMachines = new ObjectOpenHashSet<>();
+    private final long fenceVersion;
+    private long recordVersion;
+    private long term;
+    private long nextAttempt = 1;
+    private boolean lost;
+    private boolean renewing;
+    private boolean recording;
+    private boolean lapsedLogged;
+    private long nextRenewMs;
+    private boolean loaded;
+    private boolean rebuilt;
+
+    /**
+     * @param writtenAt when the takeover was sent
+     * @param version   the revision at which it was applied
+     */
+    Part(int n, Settings settings, Outbox out, Mirror mirror, Types types, PartRecord record, Reading writtenAt, long version) {
+        this.n = n;
+        this.settings = settings;
+        this.out = out;
+        this.mirror = mirror;
+        this.types = types;
+        this.owner = record.owner();
+        this.term = record.term();
+        this.fenceVersion = version;
+        this.recordVersion = version;
+        this.takenAtMs = out.now.steadyMs();
+        this.takenRevision = version;
+        this.lease = new PartLease(settings);
+        this.lease.confirmed(record.expiryMs(), writtenAt);
+        this.nextRenewMs = writtenAt.steadyMs() + Tuning.HEARTBEAT_MS;
+        this.fleet = new Fleet(this, settings, out, types);
+    }
+
+    // ---- views for others --------------------------------------------------------------------
+
+    boolean lost() {
+        return lost;
+    }
+
+    boolean holds() {
+        return !lost && lease.holds(out.now);
+    }
+
+    long term() {
+        return term;
+    }
+
+    Map<String, Job> jobs() {
+        return jobs;
+    }
+
+    Map<String, Machine> machines() {
+        return machines;
+    }
+
+    boolean rebuilt() {
+        return rebuilt;
+    }
+
+    double cpusLeft(String team) {
+        Settings.Team t = settings.teams().get(team);
+        return t == null ? 0 : t.cpusMax() - teamCpus.getDouble(team);
+    }
+
+    double gpusLeft(String team) {
+        Settings.Team t = settings.teams().get(team);
+        return t == null ? 0 : t.gpusMax() - teamGpus.getDouble(team);
+    }
+
+    double cpusUsed(String team) {
+        return teamCpus.getDouble(team);
+    }
+
+    /** Whether a machine reports and may be given work. */
+    boolean available(Machine m) {
+        return m.state == Machine.State.UP && m.heard && Double.isNaN(m.noticeS)
+                && out.now.steadyMs() - m.reportedAtMs < settings.reportS() * 1000 * Tuning.QUIET_REPORTS;
+    }
+
+    /** Whether commands that start something may be given now. */
+    boolean mayStart() {
+        return rebuilt && holds() && mirror.ageMs() < Tuning.VIEW_STALE_MS;
+    }
+
+    // ---- time --------------------------------------------------------------------------------
+
+    void step() {
+        if (lost) {
+            return;
+        }
+        if (!holds() && !lapsedLogged) {
+            lapsedLogged = true;
+            out.log("lapse: part " + n + " term " + term + ", lease not renewed in time");
+        }
+        heartbeat();
+        if (!loaded) {
+            if (mirror.revision() < takenRevision || !types.known()) {
+                return;
+            }
+            load();
+        }
+        silentMachines();
+        if (!rebuilt) {
+            rebuild();
+        }
+        writeMachineRecords();
+        finishJobs();
+        fleet.step();
+    }
+
+    private void heartbeat() {
+        if (renewing || out.now.steadyMs() < nextRenewMs) {
+            return;
+        }
+        Reading sentAt = out.now;
+        long expiry = Math.max(lease.expiryWallMs(), sentAt.wallMs() + Tuning.LEASE_MS);
+        FinishedRecords records = FinishedRecords.of(jobs.values(), settings, loaded);
+        Map<String, Map<String, Object>> writes = new LinkedHashMap<>();
+        PartRecord record = new PartRecord(owner, expiry, term, loaded ? records.chunk(0) : doneInStore());
+        writes.put(Keys.part(n), record.write());
+        for (int c = 1; c < records.chunks() && writes.size() < Math.min(settings.txnOps(), FinishedRecords.MOST_AT_ONCE); c++) {
+            if (!stored(Keys.done(n, c), records.chunk(c))) {
+                writes.put(Keys.done(n, c), Map.of("done", records.chunk(c)));
+            }
+        }
+        renewing = out.renewal(new StateOp.Multi(guards(Keys.part(n), recordVersion), writes), reply -> {
+            renewing = false;
+            renewed(reply, record, sentAt, records, writes);
+        });
+    }
+
+    private boolean stored(String key, Map<String, Object> done) {
+        Mirror.Entry known = mirror.get(key);
+        return known != null && done.equals(known.value().get("done"));
+    }
+
+    private Map<String, Object> doneInStore() {
+        return PartRecord.read(mirror.get(Keys.part(n)).value()).done();
+    }
+
+    private Map<String, Long> guards(String key, long version) {
+        Map<String, Long> guards = new LinkedHashMap<>();
+        guards.put(Keys.fence(n), fenceVersion);
+        guards.put(key, version);
+        return guards;
+    }
+
+    private void renewed(StateReply reply, PartRecord record, Reading sentAt, FinishedRecords records, Map<String, Map<String, Object>> writes) {
+        if (lost) {
+            return;
+        }
+        if (reply.status() == 200) {
+            recordVersion = applied(reply, writes);
+            lease.confirmed(record.expiryMs(), sentAt);
+            nextRenewMs = sentAt.steadyMs() + Tuning.HEARTBEAT_MS;
+            if (lapsedLogged && holds()) {
+                lapsedLogged = false;
+                out.log("renewed: part " + n + " term " + term + " after a lapse, nobody had taken it");
+            }
+            if (loaded) {
+                records.markDurable(c -> c == 0 || stored(Keys.done(n, c), records.chunk(c)));
+            }
+            return;
+        }
+        nextRenewMs = out.now.steadyMs() + Tuning.HEARTBEAT_RETRY_MS;
+        if (reply.status() == 409) {
+            // Either somebody took the part, or an earlier renewal without an answer was applied.
+            renewing = out.renewal(new StateOp.Multi(Map.of(Keys.fence(n), fenceVersion), Map.of()), fence -> {
+                renewing = false;
+                if (fence.status() == 409) {
+                    lose("its fence has changed");
+                }
+            });
+            out.state(new StateOp.Get(Keys.part(n)), this::rereadRecord);
+        }
+    }
+
+    private void rereadRecord(StateReply reply) {
+        if (lost || reply.status() != 200) {
+            return;
+        }
+        try {
+            StateFormat.Entry e = StateFormat.entry(new Tree(reply.body()));
+            PartRecord record = PartRecord.read(e.value());
+            if (!record.owner().equals(owner)) {
+                lose("taken by " + record.owner());
+            } else if (e.version() > recordVersion) {
+                recordVersion = e.version();
+                term = Math.max(term, record.term());
+                lease.confirmed(record.expiryMs(), out.now);
+                nextRenewMs = out.now.steadyMs();
+            }
+        } catch (Tree.Missing x) {
+            out.log("state: part record not understood: " + x.getMessage());
+        }
+    }
+
+    /** The view shows a new record of this part. */
+    void recordChanged(PartRecord record) {
+        if (!record.owner().equals(owner)) {
+            lose("taken by " + record.owner());
+        }
+    }
+
+    private void lose(String why) {
+        if (!lost) {
+            lost = true;
+            out.log("lost: part " + n + " term " + term + ", " + why);
+        }
+    }
+
+    /** Puts an own write into the view; returns its revision. */
+    private long applied(StateReply reply, Map<String, Map<String, Object>> writes) {
+        long revision = ((Number) reply.body().get("ledger")).longValue();
+        writes.forEach((key, value) -> mirror.apply(key, value, revision));
+        return revision;
+    }
+
+    // ---- takeover ----------------------------------------------------------------------------
+
+    private void load() {
+        loaded = true;
+        String open = Keys.openOf(n);
+        for (String key : new ArrayList<>(mirror.under(open).keySet())) {
+            Mirror.Entry entry = mirror.get(Keys.job(key.substring(open.length())));
+            if (entry != null) {
+                addJob(key.substring(open.length()), JobRecord.read(entry.value()));
+            }
+        }
+        readDone(PartRecord.read(mirror.get(Keys.part(n)).value()).done(), 0);
+        for (int c = 1; mirror.get(Keys.done(n, c)) != null; c++) {
+            @SuppressWarnings("unchecked")
+            Map<String, Object> done = (Map<String, Object>) mirror.get(Keys.done(n, c)).value().get("done");
+            readDone(done, c);
+        }
+        for (Map.Entry<String, Mirror.Entry> e : mirror.under(Keys.MACHINE).entrySet()) {
+            MachineRecord record = MachineRecord.read(e.getValue().value());
+            if (record.part() == n) {
+                addMachine(e.getKey().substring(Keys.MACHINE.length()), record);
+            }
+        }
+    }
+
+    private void readDone(Map<String, Object> done, int chunk) {
+        done.forEach((id, ranges) -> {
+            Job job = jobs.get(id);
+            if (job != null) {
+                BitSet set = TaskRanges.parse((String) ranges);
+                job.done.or(set);
+                job.durable = set;
+                job.chunk = chunk;
+            }
+        });
+    }
+
+    private Machine addMachine(String id, MachineRecord record) {
+        MachineType type = types.get(record.type());
+        if (type == null) {
+            return null;
+        }
+        Machine m = new Machine(id, type, record.zone(), record.spot(), record.rentedMs(), out.now.steadyMs());
+        m.used = record.used();
+        m.recordedUsed = record.used();
+        m.recorded = true;
+        // The owner before may have kept the worker's lease alive up to the end of its grace.
+        m.answeredAtMs = takenAtMs + PartLease.graceMs(settings);
+        machines.put(id, m);
+        return m;
+    }
+
+    /** Ends the rebuild once every machine that may hold tasks has reported or lost its lease. */
+    private void rebuild() {
+        int waitingFor = 0;
+        for (Machine m : machines.values()) {
+            if (m.used && !m.heard && !leaseEnded(m)) {
+                waitingFor++;
+            }
+        }
+        if (waitingFor > 0) {
+            return;
+        }
+        rebuilt = true;
+        int live = 0;
+        for (Job job : jobs.values()) {
+            for (int i = job.done.nextClearBit(0); i < job.spec.tasks(); i = job.done.nextClearBit(i + 1)) {
+                if (job.live.get(i) == null) {
+                    job.setWaiting(i, true);
+                } else {
+                    live++;
+                }
+            }
+        }
+        out.log("rebuilt: part " + n + " term " + term + ", " + jobs.size() + " jobs, " + machines.size() + " machines, " + live + " tasks on them, after "
+                + (out.now.steadyMs() - takenAtMs) + " ms");
+    }
+
+    private boolean leaseEnded(Machine m) {
+        return out.now.steadyMs() > m.answeredAtMs + PartLease.workerLeaseMs(settings);
+    }
+
+    // ---- jobs --------------------------------------------------------------------------------
+
+    /** A job of this part has appeared or changed in the view. */
+    void jobChanged(String id, JobRecord record) {
+        if (!loaded) {
+            return;
+        }
+        if (record.status() != JobStatus.OPEN) {
+            close(id);
+        } else if (!jobs.containsKey(id)) {
+            Job job = addJob(id, record);
+            // Accepted under this owner's lease, so no machine can have any of it.
+            for (int i = 0; i < job.spec.tasks(); i++) {
+                job.setWaiting(i, true);
+            }
+        }
+    }
+
+    private Job addJob(String id, JobRecord record) {
+        Job job = new Job(id, record.description(), record.acceptedMs());
+        job.closed = record.status() != JobStatus.OPEN;
+        if (!job.closed) {
+            jobs.put(id, job);
+        }
+        return job;
+    }
+
+    private void close(String id) {
+        Job job = jobs.remove(id);
+        if (job == null) {
+            return;
+        }
+        job.closed = true;
+        job.waiting.clear();
+        job.waitingCount = 0;
+        for (Live live : new ArrayList<>(job.live.values())) {
+            live.doomed = true;
+            halt(live, 0);
+        }
+    }
+
+    /** Writes the final state of complete jobs; users are told only after that. */
+    private void finishJobs() {
+        if (!holds()) {
+            return;
+        }
+        for (Job job : jobs.values()) {
+            if (!job.finishing && job.complete()) {
+                Mirror.Entry entry = mirror.get(Keys.job(job.id));
+                if (entry == null) {
+                    continue;
+                }
+                Map<String, Map<String, Object>> writes = new LinkedHashMap<>();
+                writes.put(Keys.job(job.id), JobRecord.read(entry.value()).ended(JobStatus.DONE).write());
+                writes.put(Keys.open(n, job.id), null);
+                // A refusal means that the user's cancellation came first; the view will show it.
+                job.finishing = out.state(new StateOp.Multi(guards(Keys.job(job.id), entry.version()), writes), reply -> {
+                    job.finishing = false;
+                    if (reply.status() == 200) {
+                        applied(reply, writes);
+                    }
+                });
+                if (!job.finishing) {
+                    return;
+                }
+            }
+        }
+    }
+
+    // ---- reports -----------------------------------------------------------------------------
+
+    /** Answers a report of a machine that belongs to this part, or to none yet. */
+    void report(long request, WorkerReport r) {
+        if (lost || !loaded || !lease.keepsAlive(out.now) || r.token() > term) {
+            if (!lost && r.token() > term) {
+                raise(r.token());
+            }
+            out.later(request);
+            return;
+        }
+        Machine m = machines.get(r.machine());
+        if (m == null) {
+            m = adopt(r);
+        }
+        // A late report's sender has given up on it; its task list is as old as the report.
+        if (m == null || (m.heard && !r.newerThan(m.session, m.seq))) {
+            out.later(request);
+            return;
+        }
+        absorb(m, r);
+        List<WorkerOrder> orders = new ArrayList<>();
+        if (holds()) {
+            settle(m, r, orders);
+            if (mayStart() && m.recordedUsed && available(m)) {
+                start(m, orders);
+            }
+        }
+        m.answeredAtMs = out.now.steadyMs();
+        out.answer(request, 200, WorkerFormat.answer(term, orders));
+    }
+
+    /** A worker has seen a higher token than this part's term, so its answers would be dropped. */
+    private void raise(long above) {
+        if (renewing || !holds()) {
+            return;
+        }
+        Mirror.Entry counter = mirror.get(Keys.TERM);
+        long counted = counter == null ? 0 : ((Number) counter.value().get("term")).longValue();
+        long next = Math.max(counted, above) + 1;
+        Map<String, Long> guards = guards(Keys.part(n), recordVersion);
+        guards.put(Keys.TERM, counter == null ? 0 : counter.version());
+        Map<String, Map<String, Object>> writes = new LinkedHashMap<>();
+        PartRecord record = new PartRecord(owner, lease.expiryWallMs(), next, doneInStore());
+        writes.put(Keys.part(n), record.write());
+        writes.put(Keys.TERM, Map.of("term", next));
+        renewing = out.renewal(new StateOp.Multi(guards, writes), reply -> {
+            renewing = false;
+            if (reply.status() == 200 && !lost) {
+                recordVersion = applied(reply, writes);
+                term = next;
+                nextAttempt = 1;
+                out.log("term: part " + n + " raised to " + next + " for a worker that has seen " + above);
+            } else {
+                nextRenewMs = out.now.steadyMs();
+            }
+        });
+    }
+
+    private Machine adopt(WorkerReport r) {
+        Mirror.Entry entry = mirror.get(Keys.machine(r.machine()));
+        if (entry != null) {
+            MachineRecord record = MachineRecord.read(entry.value());
+            return record.part() == n ? addMachine(r.machine(), record) : null;
+        }
+        return add(r.machine(), types.get(r.type()), r.zone(), r.spot(), out.now.wallMs());
+    }
+
+    /** A machine that no record shows: it has never been given a task. */
+    Machine add(String id, MachineType type, String zone, boolean spot, long rentedWallMs) {
+        if (type == null) {
+            return null;
+        }
+        Machine m = new Machine(id, type, zone, spot, rentedWallMs, out.now.steadyMs());
+        m.answeredAtMs = out.now.steadyMs();
+        machines.put(id, m);
+        dirtyMachines.add(id);
+        return m;
+    }
+
+    /** Takes over what the report says. */
+    private void absorb(Machine m, WorkerReport r) {
+        m.session = r.session();
+        m.seq = r.seq();
+        m.address = r.address();
+        m.noticeS = r.noticeS();
+        m.reportedAtMs = out.now.steadyMs();
+        m.heard = true;
+        if (m.state == Machine.State.BOOTING) {
+            m.state = Machine.State.UP;
+        }
+        if (!m.used) {
+            m.used = true;
+            dirtyMachines.add(m.id);
+        }
+        ObjectOpenHashSet<String> shown = new ObjectOpenHashSet<>();
+        for (TaskReport t : r.tasks()) {
+            String key = Machine.taskKey(t.job(), t.index());
+            if (t.state() == TaskState.EXITED) {
+                exited(m, key, t);
+            } else {
+                shown.add(key);
+                present(m, key, t);
+            }
+        }
+        for (Live live : m.tasksNow()) {
+            // A start answered to an older report is in this one, or was dropped and never happens.
+            if (!shown.contains(Machine.taskKey(live.job.id, live.index))) {
+                remove(live);
+            }
+        }
+        m.idleSinceMs = !m.tasks.isEmpty() ? -1 : m.idleSinceMs < 0 ? out.now.steadyMs() : m.idleSinceMs;
+    }
+
+    private void present(Machine m, String key, TaskReport t) {
+        Live live = m.tasks.get(key);
+        if (live != null && live.attempt != t.attempt()) {
+            remove(live);
+            live = null;
+        }
+        if (live == null) {
+            Job job = jobs.get(t.job());
+            boolean wanted = job != null && t.index() >= 0 && t.index() < job.spec.tasks() && !job.done.get(t.index()) && job.live.get(t.index()) == null;
+            live = new Live(job != null ? job : unwanted(m, t.job()), t.index(), t.attempt(), m, Live.State.RUNNING, out.now.steadyMs());
+            live.doomed = !wanted;
+            add(live, wanted);
+        }
+        live.state = switch (t.state()) {
+            case FETCHING -> Live.State.FETCHING;
+            case SAVING -> Live.State.SAVING;
+            default -> Live.State.RUNNING;
+        };
+        if (live.state == Live.State.RUNNING && live.runningSinceMs < 0) {
+            live.runningSinceMs = out.now.steadyMs();
+        }
+    }
+
+    /** A job that is cancelled, or unknown: then its tasks are taken to fill the machine. */
+    private Job unwanted(Machine m, String id) {
+        Mirror.Entry entry = mirror.get(Keys.job(id));
+        JobRecord record = entry == null ? null : JobRecord.read(entry.value());
+        JobSpec spec = record != null && record.spec() != null ? record.description()
+                : new JobSpec(id, "", "", JobSpec.Priority.LOW, Tuning.MAX_TASKS, m.type.cpus(), m.type.gpus(), m.type.memGb(), "", 0, null, null,
+                        false, false, true, 1, 0, 0, Double.NaN);
+        Job job = new Job(id, spec, out.now.wallMs());
+        job.closed = true;
+        return job;
+    }
+
+    private void exited(Machine m, String key, TaskReport t) {
+        Live live = m.tasks.get(key);
+        boolean ours = live != null && live.attempt == t.attempt();
+        Job job = jobs.get(t.job());
+        if (t.cause() == Cause.DONE) {
+            m.failedJobs.clear();
+            if (job != null && t.index() >= 0 && t.index() < job.spec.tasks() && !job.done.get(t.index())) {
+                job.done.set(t.index());
+                job.setWaiting(t.index(), false);
+                Live elsewhere = job.live.get(t.index());
+                if (elsewhere != null && elsewhere != live) {
+                    elsewhere.doomed = true;
+                    halt(elsewhere, 0);
+                }
+            }
+        }
+        if (!ours) {
+            return;
+        }
+        if (t.cause() == Cause.ERROR && job != null) {
+            job.failed(m.id, out.now.steadyMs());
+            if (job.suspect()) {
+                machines.values().forEach(other -> other.failedJobs.remove(job.id));
+            } else {
+                m.failedJobs.add(job.id);
+            }
+        } else if (t.cause() == Cause.UNKNOWN && job != null) {
+            job.failed(m.id, out.now.steadyMs());
+        }
+        remove(live);
+    }
+
+    private void add(Live live, boolean placed) {
+        JobSpec spec = live.job.spec;
+        live.machine.tasks.put(Machine.taskKey(live.job.id, live.index), live);
+        live.machine.cpusUsed += spec.cpus();
+        live.machine.gpusUsed += spec.gpus();
+        live.machine.memUsed += spec.memGb();
+        live.machine.images.add(spec.image());
+        live.machine.idleSinceMs = -1;
+        teamCpus.addTo(spec.team(), spec.cpus());
+        teamGpus.addTo(spec.team(), spec.gpus());
+        if (placed) {
+            live.job.live.put(live.index, live);
+            live.job.setWaiting(live.index, false);
+        }
+    }
+
+    /** The task is surely not on its machine any more; it waits again unless it is finished. */
+    private void remove(Live live) {
+        Machine m = live.machine;
+        JobSpec spec = live.job.spec;
+        if (!m.tasks.remove(Machine.taskKey(live.job.id, live.index), live)) {
+            return;
+        }
+        m.cpusUsed = m.tasks.isEmpty() ? 0 : m.cpusUsed - spec.cpus();
+        m.gpusUsed = m.tasks.isEmpty() ? 0 : m.gpusUsed - spec.gpus();
+        m.memUsed = m.tasks.isEmpty() ? 0 : m.memUsed - spec.memGb();
+        teamCpus.addTo(spec.team(), -spec.cpus());
+        teamGpus.addTo(spec.team(), -spec.gpus());
+        Job job = live.job;
+        if (job.live.get(live.index) == live) {
+            job.live.remove(live.index);
+            if (!job.closed && !job.done.get(live.index) && rebuilt) {
+                job.setWaiting(live.index, true);
+            }
+        }
+    }
+
+    /** Commands that settle what the report shows: forget what is durable, stop what must not run. */
+    private void settle(Machine m, WorkerReport r, List<WorkerOrder> orders) {
+        for (TaskReport t : r.tasks()) {
+            if (t.state() == TaskState.EXITED && forgettable(t)) {
+                orders.add(new WorkerOrder(WorkerOrder.Kind.FORGET, t.job(), t.index(), t.attempt(), 0));
+            }
+        }
+        for (Live live : m.tasks.values()) {
+            if (live.doomed) {
+                orders.add(stop(live, 0));
+            }
+        }
+    }
+
+    /** A finish may be forgotten when it, or its job's final state, is in the store. */
+    private boolean forgettable(TaskReport t) {
+        if (t.cause() != Cause.DONE) {
+            return true;
+        }
+        Job job = jobs.get(t.job());
+        return job == null ? mirror.get(Keys.open(n, t.job())) == null : job.durable.get(t.index());
+    }
+
+    private void start(Machine m, List<WorkerOrder> orders) {
+        List<Planner.Slot> slots = new ArrayList<>();
+        for (Machine other : machines.values()) {
+            if (available(other)) {
+                slots.add(new Planner.Slot(other));
+            }
+        }
+        Planner planner = new Planner(slots, this::cpusLeft, this::gpusLeft);
+        for (Job job : ordered()) {
+            planner.place(job, job.waitingCount);
+        }
+        for (Planner.Placed p : planner.placed()) {
+            if (p.slot().machine == m) {
+                int index = -1;
+                for (int i = 0; i < p.count(); i++) {
+                    index = p.job().waiting.nextSetBit(index + 1);
+                    Live live = new Live(p.job(), index, term << Tuning.ATTEMPT_BITS | nextAttempt++, m, Live.State.ASKED, out.now.steadyMs());
+                    add(live, true);
+                    orders.add(new WorkerOrder(WorkerOrder.Kind.START, p.job().id, index, live.attempt, 0));
+                }
+            }
+        }
+    }
+
+    /** Jobs with waiting tasks, most pressing first. */
+    List<Job> ordered() {
+        List<Job> list = new ArrayList<>();
+        for (Job job : jobs.values()) {
+            if (job.waitingCount > 0 && !job.closed && !job.paused(out.now.steadyMs())) {
+                list.add(job);
+            }
+        }
+        list.sort(Comparator.comparing((Job j) -> j.spec.priority())
+                .thenComparing(j -> teamCpus.getDouble(j.spec.team()) >= guarantee(j.spec.team()))
+                .thenComparingLong(j -> j.acceptedMs).thenComparing(j -> j.id));
+        return list;
+    }
+
+    private double guarantee(String team) {
+        Settings.Team t = settings.teams().get(team);
+        return t == null ? 0 : t.cpus();
+    }
+
+    private static WorkerOrder stop(Live live, double graceS) {
+        return new WorkerOrder(WorkerOrder.Kind.STOP, live.job.id, live.index, live.attempt, graceS);
+    }
+
+    /** Stops a task by a direct command; reports repeat it until it is gone. */
+    private void halt(Live live, double graceS) {
+        Machine m = live.machine;
+        if (holds() && m.address != null && m.heard && out.now.steadyMs() - live.haltedAtMs > Tuning.HALT_AGAIN_MS) {
+            live.haltedAtMs = out.now.steadyMs();
+            out.add(new Effect.Orders(m.address, term, m.session, List.of(stop(live, graceS))));
+        }
+    }
+
+    // ---- machines ----------------------------------------------------------------------------
+
+    private void silentMachines() {
+        for (Machine m : machines.values()) {
+            if (!m.tasks.isEmpty() && leaseEnded(m)) {
+                out.log("silent: " + m.id + " of part " + n + " lost its lease with " + m.tasks.size() + " tasks");
+                m.tasksNow().forEach(this::remove);
+            }
+        }
+    }
+
+    /** The machine and everything on it are gone. */
+    void gone(Machine m, String why) {
+        out.log("gone: " + m.id + " of part " + n + ", " + why);
+        m.tasksNow().forEach(this::remove);
+        machines.remove(m.id);
+        dirtyMachines.add(m.id);
+    }
+
+    /** The cloud says that the machine has stopped by itself, so nothing is on it. */
+    void stopped(Machine m) {
+        m.tasksNow().forEach(this::remove);
+        if (m.state == Machine.State.BOOTING || m.state == Machine.State.UP) {
+            m.state = Machine.State.DRAINING;
+        }
+    }
+
+    /** Whether this part is the one to take on a machine that no record shows. */
+    boolean strayHere(String id) {
+        return mirror.get(Keys.machine(id)) == null && Parts.partOf(id) == n;
+    }
+
+    /** Records machines before their first start, and removes the records of those that are gone. */
+    private void writeMachineRecords() {
+        if (recording || dirtyMachines.isEmpty() || !holds()) {
+            return;
+        }
+        Map<String, Long> guards = new LinkedHashMap<>();
+        guards.put(Keys.fence(n), fenceVersion);
+        Map<String, Map<String, Object>> writes = new LinkedHashMap<>();
+        List<String> batch = new ArrayList<>();
+        for (String id : dirtyMachines) {
+            if (batch.size() >= Math.max(1, settings.txnOps() / 2)) {
+                break;
+            }
+            String key = Keys.machine(id);
+            Machine m = machines.get(id);
+            if (m != null || mirror.get(key) != null) {
+                guards.put(key, mirror.version(key));
+                writes.put(key, m == null ? null : new MachineRecord(n, m.type.name(), m.zone, m.spot, m.rentedWallMs, m.used).write());
+            }
+            batch.add(id);
+        }
+        batch.forEach(dirtyMachines::remove);
+        if (writes.isEmpty()) {
+            return;
+        }
+        recording = out.state(new StateOp.Multi(guards, writes), reply -> {
+            recording = false;
+            if (lost) {
+                return;
+            }
+            if (reply.status() == 200) {
+                applied(reply, writes);
+            }
+            for (String id : batch) {
+                Machine m = machines.get(id);
+                Mirror.Entry entry = mirror.get(Keys.machine(id));
+                MachineRecord record = entry == null ? null : MachineRecord.read(entry.value());
+                if (m == null ? record != null && record.part() == n : record == null || (record.part() == n && record.used() != m.used)) {
+                    dirtyMachines.add(id);
+                } else if (m != null && record.part() != n) {
+                    machines.remove(id);
+                } else if (m != null) {
+                    m.recorded = true;
+                    m.recordedUsed = record.used();
+                }
+            }
+        });
+        if (!recording) {
+            dirtyMachines.addAll(batch);
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/org/shoreusher/core/PartLease.java
@@ -0,0 +1,66 @@
+package org.shoreusher.core;
+
+import org.shoreusher.settings.Settings;
+import org.shoreusher.settings.Tuning;
+
+/**
+ * The arithmetic of a part's lease: the owner stops early and a taker waits late, each by the bound
+ * on the clocks and a margin, so that their times can't overlap. Elapsed time is also measured by the
+ * steady clock, so a time of day that wanders back lengthens nothing.
+ */
+final class PartLease {
+    private final long slackMs;
+    private final long graceMs;
+    private long expiryWallMs;
+    private long steadyEndMs;
+
+    PartLease(Settings s) {
+        slackMs = s.clockOffMs() + Tuning.LEASE_MARGIN_MS;
+        graceMs = graceMs(s);
+    }
+
+    /**
+     * How long after its lapse an owner whose record is untouched still answers reports, without any
+     * command, so that an outage of the state service does not end the workers' leases as well. A
+     * cancellation that the owner can't see must still come true in time: lapse, grace and the worker's
+     * lease together stay below the time that a cancellation has.
+     */
+    static long graceMs(Settings s) {
+        double ms = s.cancelS() * 1000 - Tuning.LEASE_MS - Tuning.VIEW_STALE_MS / 3.0 - workerLeaseMs(s) - 2 * s.clockOffMs();
+        return Math.max(0, (long) ms);
+    }
+
+    /** ms after the last valid answer at which a worker's lease has surely ended. */
+    static long workerLeaseMs(Settings s) {
+        return (long) Math.ceil(s.workerLeaseS() * 1000 * (1 + Tuning.DRIFT)) + Tuning.SILENT_MARGIN_MS;
+    }
+
+    /** The store confirmed an expiry that was written at the given moment. */
+    void confirmed(long expiryWall, Reading writtenAt) {
+        expiryWallMs = expiryWall;
+        steadyEndMs = writtenAt.steadyMs() + (long) ((expiryWall - writtenAt.wallMs()) * (1 - Tuning.DRIFT));
+    }
+
+    long expiryWallMs() {
+        return expiryWallMs;
+    }
+
+    /** Whether the owner may give commands. */
+    boolean holds(Reading now) {
+        return left(now) > 0;
+    }
+
+    /** Whether the owner may at least keep its workers' leases alive. */
+    boolean keepsAlive(Reading now) {
+        return left(now) + graceMs > 0;
+    }
+
+    private long left(Reading now) {
+        return Math.min(expiryWallMs - slackMs - now.wallMs(), steadyEndMs - slackMs - now.steadyMs());
+    }
+
+    /** Whether a taker may take a part whose record shows this expiry. */
+    static boolean free(Settings s, long expiryWall, Reading now) {
+        return now.wallMs() > expiryWall + s.clockOffMs() + Tuning.LEASE_MARGIN_MS;
+    }
+}
--- /dev/null
+++ b/src/main/java/org/shoreusher/core/Planner.java
@@ -0,0 +1,142 @@
+package org.shoreusher.core;
+
+import it.unimi.dsi.fastutil.objects.Object2DoubleOpenHashMap;
+import it.unimi.dsi.fastutil.objects.Object2IntOpenHashMap;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.List;
+import java.util.function.ToDoubleFunction;
+
+/**
+ * Places waiting tasks on the fullest machine that fits. A plan holds for the moment it is made: it is
+ * made anew for every report, and only the reporting machine's share of it is carried out, because
+ * starts travel only in answers to reports.
+ */
+final class Planner {
+    private static final double EPSILON = 1e-9;
+
+    /** A machine's room while a plan is made. */
+    static final class Slot {
+        final Machine machine;
+        final MachineType type;
+        final String zone;
+        final boolean spot;
+        double cpus;
+        double gpus;
+        double mem;
+
+        Slot(Machine m) {
+            this(m, m.type, m.zone, m.spot, m.cpusFree(), m.gpusFree(), m.memFree());
+        }
+
+        Slot(Machine machine, MachineType type, String zone, boolean spot, double cpus, double gpus, double mem) {
+            this.machine = machine;
+            this.type = type;
+            this.zone = zone;
+            this.spot = spot;
+            this.cpus = cpus;
+            this.gpus = gpus;
+            this.mem = mem;
+        }
+
+        int fits(JobSpec job) {
+            double n = Integer.MAX_VALUE;
+            n = job.cpus() > 0 ? Math.min(n, Math.floor(cpus / job.cpus() + EPSILON)) : n;
+            n = job.gpus() > 0 ? Math.min(n, Math.floor(gpus / job.gpus() + EPSILON)) : n;
+            n = job.memGb() > 0 ? Math.min(n, Math.floor(mem / job.memGb() + EPSILON)) : n;
+            return (int) Math.max(0, n);
+        }
+
+        void take(JobSpec job, int count) {
+            cpus -= job.cpus() * count;
+            gpus -= job.gpus() * count;
+            mem -= job.memGb() * count;
+        }
+    }
+
+    /** So many tasks of a job on a machine. */
+    record Placed(Job job, Slot slot, int count) {
+    }
+
+    private final ToDoubleFunction<String> cpusLeft;
+    private final ToDoubleFunction<String> gpusLeft;
+    private final Object2DoubleOpenHashMap<String> cpusPlanned = new Object2DoubleOpenHashMap<>();
+    private final Object2DoubleOpenHashMap<String> gpusPlanned = new Object2DoubleOpenHashMap<>();
+    private final List<Slot> slots;
+    private final List<Placed> placed = new ArrayList<>();
+
+    Planner(List<Slot> slots, ToDoubleFunction<String> cpusLeft, ToDoubleFunction<String> gpusLeft) {
+        this.slots = slots;
+        this.cpusLeft = cpusLeft;
+        this.gpusLeft = gpusLeft;
+    }
+
+    List<Placed> placed() {
+        return placed;
+    }
+
+    /** How many tasks of the job its team's limit still allows. */
+    int allowedByTeam(JobSpec job) {
+        double n = Integer.MAX_VALUE;
+        if (job.cpus() > 0) {
+            n = Math.min(n, Math.floor((cpusLeft.applyAsDouble(job.team()) - cpusPlanned.getDouble(job.team())) / job.cpus() + EPSILON));
+        }
+        if (job.gpus() > 0) {
+            n = Math.min(n, Math.floor((gpusLeft.applyAsDouble(job.team()) - gpusPlanned.getDouble(job.team())) / job.gpus() + EPSILON));
+        }
+        return (int) Math.max(0, n);
+    }
+
+    /** Places up to {@code wanted} tasks of a job; returns how many found no machine although the team may run them. */
+    int place(Job job, int wanted) {
+        JobSpec spec = job.spec;
+        int left = Math.min(wanted, allowedByTeam(spec));
+        if (left <= 0) {
+            return 0;
+        }
+        slots.sort(Comparator.comparingDouble((Slot s) -> s.cpus).thenComparing(s -> s.machine == null ? "~" : s.machine.id));
+        ZoneRule zones = new ZoneRule(job);
+        for (int i = 0; i < slots.size() && left > 0; i++) {
+            Slot slot = slots.get(i);
+            if (!spec.allows(slot.type.name(), slot.zone, slot.spot)) {
+                continue;
+            }
+            int n = Math.min(Math.min(left, slot.fits(spec)), zones.room(slot.zone));
+            if (n > 0) {
+                slot.take(spec, n);
+                zones.add(slot.zone, n);
+                cpusPlanned.addTo(spec.team(), n * spec.cpus());
+                gpusPlanned.addTo(spec.team(), n * spec.gpus());
+                placed.add(new Placed(job, slot, n));
+                left -= n;
+            }
+        }
+        return left;
+    }
+
+    /** The rules on zones, given the job's tasks that are or may be on machines. */
+    private static final class ZoneRule {
+        private final Object2IntOpenHashMap<String> used = new Object2IntOpenHashMap<>();
+        private final boolean one;
+        private final int most;
+
+        ZoneRule(Job job) {
+            one = job.spec.oneZone();
+            most = job.spec.spread() ? (job.spec.tasks() + 1) / 2 : Integer.MAX_VALUE;
+            if (one || job.spec.spread()) {
+                job.live.values().forEach(l -> used.addTo(l.machine.zone, 1));
+            }
+        }
+
+        int room(String zone) {
+            if (one && !used.isEmpty() && !used.containsKey(zone)) {
+                return 0;
+            }
+            return most - used.getInt(zone);
+        }
+
+        void add(String zone, int n) {
+            used.addTo(zone, n);
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/org/shoreusher/core/Types.java
@@ -0,0 +1,80 @@
+package org.shoreusher.core;
+
+import it.unimi.dsi.fastutil.objects.Object2ObjectOpenHashMap;
+import java.util.Collection;
+import java.util.List;
+import java.util.Map;
+import org.shoreusher.core.Command.CloudReply;
+import org.shoreusher.core.Effect.CloudOp;
+import org.shoreusher.core.Effect.StateOp;
+import org.shoreusher.settings.Tuning;
+import org.shoreusher.wire.CloudFormat;
+import org.shoreusher.wire.Tree;
+
+/**
+ * The machine types. The first node that learns them from the cloud stores the answer, so that a node
+ * that restarts while the cloud's interface is down knows them from the state service.
+ */
+final class Types {
+    private final Outbox out;
+    private final Mirror mirror;
+    private final Object2ObjectOpenHashMap<String, MachineType> types = new Object2ObjectOpenHashMap<>();
+    private boolean busy;
+    private long nextMs;
+
+    Types(Outbox out, Mirror mirror) {
+        this.out = out;
+        this.mirror = mirror;
+    }
+
+    boolean known() {
+        return !types.isEmpty();
+    }
+
+    MachineType get(String name) {
+        return types.get(name);
+    }
+
+    Collection<MachineType> all() {
+        return types.values();
+    }
+
+    /** Asks the cloud if this node rents (prices change) or if nobody has told the types yet. */
+    void step(boolean renting) {
+        if (!mirror.loaded() || busy || out.now.steadyMs() < nextMs || (known() && !renting)) {
+            return;
+        }
+        busy = out.cloud(new CloudOp.Types(), this::replied);
+    }
+
+    private void replied(CloudReply reply) {
+        busy = false;
+        nextMs = out.now.steadyMs() + Tuning.CLOUD_RETRY_MS;
+        if (reply.status() != 200) {
+            return;
+        }
+        nextMs = out.now.steadyMs() + Tuning.FLAVORS_EVERY_MS;
+        boolean first = mirror.get(Keys.TYPES) == null;
+        if (read(reply.body()) && first) {
+            out.state(new StateOp.Multi(Map.of(Keys.TYPES, 0L), Map.of(Keys.TYPES, reply.body())), stored -> { });
+        }
+    }
+
+    /** The view shows what another node has learned. */
+    void stored(Map<String, Object> value) {
+        if (!known()) {
+            read(value);
+        }
+    }
+
+    private boolean read(Map<String, Object> body) {
+        try {
+            List<MachineType> list = CloudFormat.types(new Tree(body));
+            list.forEach(t -> types.put(t.name(), t));
+            return !list.isEmpty();
+        } catch (Tree.Missing e) {
+            out.log("cloud: types not understood: " + e.getMessage());
+            return false;
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/org/shoreusher/net/HttpCaller.java
@@ -0,0 +1,174 @@
+package org.shoreusher.net;
+
+import io.netty.bootstrap.Bootstrap;
+import io.netty.buffer.ByteBufUtil;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoop;
+import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.channel.socket.SocketChannel;
+import io.netty.channel.socket.nio.NioSocketChannel;
+import io.netty.handler.codec.http.DefaultFullHttpRequest;
+import io.netty.handler.codec.http.FullHttpRequest;
+import io.netty.handler.codec.http.FullHttpResponse;
+import io.netty.handler.codec.http.HttpClientCodec;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpMethod;
+import io.netty.handler.codec.http.HttpObjectAggregator;
+import io.netty.handler.codec.http.HttpUtil;
+import io.netty.handler.codec.http.HttpVersion;
+import io.netty.util.concurrent.ScheduledFuture;
+import java.util.ArrayDeque;
+import java.util.Map;
+import java.util.concurrent.TimeUnit;
+import org.shoreusher.settings.Settings.Address;
+import org.shoreusher.settings.Tuning;
+import org.shoreusher.wire.Tree;
+
+/**
+ * Calls one HTTP service over kept connections, one request at a time on each. Every call ends in
+ * exactly one answer; without one in time, with status 0, and its connection is dropped.
+ */
+public final class HttpCaller {
+    /** Takes the answer. {@code body} is null unless it is a map. */
+    public interface Answer {
+        void answered(int status, Map<String, Object> body);
+    }
+
+    private final Address target;
+    private final Bootstrap bootstrap;
+    private final EventLoop loop;
+    private final ArrayDeque<Line> idle = new ArrayDeque<>();
+    private int busy;
+
+    public HttpCaller(EventLoop loop, Address target) {
+        this.target = target;
+        this.loop = loop;
+        bootstrap = new Bootstrap().group(loop).channel(NioSocketChannel.class)
+                .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, Tuning.CONNECT_MS).option(ChannelOption.TCP_NODELAY, true)
+                .handler(new ChannelInitializer<SocketChannel>() {
+                    @Override
+                    protected void initChannel(SocketChannel ch) {
+                        ch.pipeline().addLast(new HttpClientCodec(), new HttpObjectAggregator(Tuning.MAX_STATE_BODY), new Line(ch));
+                    }
+                });
+    }
+
+    /** Calls; a null body means GET. To be used on the event loop. */
+    public void call(String path, Map<String, Object> body, long timeoutMs, Answer answer) {
+        FullHttpRequest request = body == null
+                ? new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET, path)
+                : new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.POST, path, Unpooled.wrappedBuffer(Tree.toCbor(body)));
+        request.headers().set(HttpHeaderNames.HOST, target.toString());
+        if (body != null) {
+            request.headers().set(HttpHeaderNames.CONTENT_TYPE, "application/cbor");
+            HttpUtil.setContentLength(request, request.content().readableBytes());
+        }
+        if (busy >= Tuning.POOL_BUSY) {
+            request.release();
+            loop.execute(() -> answer.answered(0, null));
+            return;
+        }
+        busy++;
+        Call call = new Call(answer);
+        for (Line line = idle.pollLast(); line != null; line = idle.pollLast()) {
+            if (line.channel.isActive()) {
+                line.send(call, request, timeoutMs);
+                return;
+            }
+        }
+        ChannelFuture connect = bootstrap.connect(target.ip(), target.port());
+        connect.addListener(done -> {
+            if (connect.isSuccess()) {
+                connect.channel().pipeline().get(Line.class).send(call, request, timeoutMs);
+            } else {
+                request.release();
+                call.end(0, null);
+            }
+        });
+    }
+
+    private final class Call {
+        private final Answer answer;
+        private boolean ended;
+
+        Call(Answer answer) {
+            this.answer = answer;
+        }
+
+        void end(int status, Map<String, Object> body) {
+            if (!ended) {
+                ended = true;
+                busy--;
+                answer.answered(status, body);
+            }
+        }
+    }
+
+    /** One connection. */
+    private final class Line extends SimpleChannelInboundHandler<FullHttpResponse> {
+        private final Channel channel;
+        private Call current;
+        private ScheduledFuture<?> timeout;
+
+        Line(Channel channel) {
+            this.channel = channel;
+        }
+
+        void send(Call call, FullHttpRequest request, long timeoutMs) {
+            current = call;
+            timeout = loop.schedule(() -> {
+                channel.close();
+                finish(0, null);
+            }, timeoutMs, TimeUnit.MILLISECONDS);
+            channel.writeAndFlush(request);
+        }
+
+        private void finish(int status, Map<String, Object> body) {
+            if (current != null) {
+                timeout.cancel(false);
+                Call call = current;
+                current = null;
+                call.end(status, body);
+            }
+        }
+
+        @Override
+        protected void channelRead0(ChannelHandlerContext ctx, FullHttpResponse response) {
+            Map<String, Object> body = null;
+            int status = response.decoderResult().isSuccess() ? response.status().code() : 0;
+            if (response.content().isReadable()) {
+                try {
+                    body = Tree.cbor(ByteBufUtil.getBytes(response.content())).asMap();
+                } catch (java.io.IOException e) {
+                    status = status == 200 ? 0 : status;
+                }
+            }
+            if (status == 200 && body == null) {
+                body = Map.of();
+            }
+            boolean keep = status != 0 && HttpUtil.isKeepAlive(response) && idle.size() < Tuning.POOL_IDLE;
+            if (keep) {
+                idle.addLast(this);
+            } else {
+                channel.close();
+            }
+            finish(status, body);
+        }
+
+        @Override
+        public void channelInactive(ChannelHandlerContext ctx) {
+            idle.remove(this);
+            finish(0, null);
+        }
+
+        @Override
+        public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
+            ctx.close();
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/org/shoreusher/peer/HintCodec.java
@@ -0,0 +1,94 @@
+package org.shoreusher.peer;
+
+import com.esotericsoftware.kryo.Kryo;
+import com.esotericsoftware.kryo.KryoException;
+import com.esotericsoftware.kryo.Serializer;
+import com.esotericsoftware.kryo.io.Input;
+import com.esotericsoftware.kryo.io.Output;
+import java.util.HashMap;
+import java.util.Map;
+import org.shoreusher.core.Hint;
+
+/** Hints in Kryo's form. Only the registered classes are read, so bytes from elsewhere build nothing else. */
+public final class HintCodec {
+    /** bytes; a longer hint is refused. */
+    public static final int MOST = 256 * 1024;
+    /** entries; a map said to be longer is refused before it is built. */
+    private static final int MOST_ENTRIES = 10_000;
+
+    private final Kryo kryo = new Kryo();
+
+    public HintCodec() {
+        kryo.setRegistrationRequired(true);
+        kryo.setReferences(false);
+        kryo.register(Hint.class, new HintSerializer());
+    }
+
+    public byte[] write(Hint hint) {
+        Output out = new Output(512, MOST);
+        kryo.writeObject(out, hint);
+        return out.toBytes();
+    }
+
+    /** Reads a hint; null if the bytes are none. */
+    public Hint read(byte[] bytes) {
+        try {
+            return kryo.readObject(new Input(bytes), Hint.class);
+        } catch (KryoException | IllegalArgumentException | IndexOutOfBoundsException e) {
+            return null;
+        }
+    }
+
+    private static final class HintSerializer extends Serializer<Hint> {
+        @Override
+        public void write(Kryo kryo, Output out, Hint h) {
+            out.writeString(h.from());
+            out.writeBoolean(h.stateOk());
+            out.writeVarInt(h.room().size(), true);
+            h.room().forEach((part, room) -> {
+                out.writeVarInt(part, true);
+                out.writeDouble(room);
+            });
+            counts(out, h.running());
+            counts(out, h.done());
+        }
+
+        private static void counts(Output out, Map<String, Integer> counts) {
+            out.writeVarInt(counts.size(), true);
+            counts.forEach((job, count) -> {
+                out.writeString(job);
+                out.writeVarInt(count, true);
+            });
+        }
+
+        @Override
+        public Hint read(Kryo kryo, Input in, Class<? extends Hint> type) {
+            String from = in.readString();
+            boolean stateOk = in.readBoolean();
+            Map<Integer, Double> room = new HashMap<>();
+            for (int i = entries(in); i > 0; i--) {
+                room.put(in.readVarInt(true), in.readDouble());
+            }
+            if (from == null) {
+                throw new KryoException("a hint without sender");
+            }
+            return new Hint(from, stateOk, room, counts(in), counts(in));
+        }
+
+        private static Map<String, Integer> counts(Input in) {
+            Map<String, Integer> counts = new HashMap<>();
+            for (int i = entries(in); i > 0; i--) {
+                counts.put(in.readString(), in.readVarInt(true));
+            }
+            return counts;
+        }
+
+        private static int entries(Input in) {
+            int n = in.readVarInt(true);
+            if (n < 0 || n > MOST_ENTRIES) {
+                throw new KryoException("too many entries");
+            }
+            return n;
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/org/shoreusher/peer/Peers.java
@@ -0,0 +1,118 @@
+package org.shoreusher.peer;
+
+import io.netty.bootstrap.Bootstrap;
+import io.netty.bootstrap.ServerBootstrap;
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.ByteBufUtil;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.channel.socket.SocketChannel;
+import io.netty.channel.socket.nio.NioServerSocketChannel;
+import io.netty.channel.socket.nio.NioSocketChannel;
+import io.netty.handler.codec.LengthFieldBasedFrameDecoder;
+import io.netty.handler.codec.LengthFieldPrepender;
+import io.netty.handler.timeout.ReadTimeoutHandler;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.function.Consumer;
+import org.shoreusher.core.Command;
+import org.shoreusher.core.Hint;
+import org.shoreusher.settings.Settings;
+import org.shoreusher.settings.Tuning;
+
+/** Tells the other controllers hints and hears theirs. A hint that can't be sent at once is dropped. */
+public final class Peers {
+    private final EventLoopGroup loop;
+    private final Settings settings;
+    private final Consumer<Command> core;
+    private final HintCodec codec = new HintCodec();
+    private final Map<String, Channel> lines = new HashMap<>();
+    private final Map<String, Boolean> connecting = new HashMap<>();
+
+    public Peers(EventLoopGroup loop, Settings settings, Consumer<Command> core) {
+        this.loop = loop;
+        this.settings = settings;
+        this.core = core;
+    }
+
+    /** Begins to listen. */
+    public void listen() throws InterruptedException {
+        new ServerBootstrap().group(loop).channel(NioServerSocketChannel.class).option(ChannelOption.SO_REUSEADDR, true)
+                .childHandler(new ChannelInitializer<SocketChannel>() {
+                    @Override
+                    protected void initChannel(SocketChannel ch) {
+                        ch.pipeline().addLast(new ReadTimeoutHandler(Tuning.IDLE_CONNECTION_S),
+                                new LengthFieldBasedFrameDecoder(HintCodec.MOST, 0, 4, 0, 4), new Hearer());
+                    }
+                }).bind(settings.back().ip(), settings.back().port()).sync();
+    }
+
+    /** Tells every peer that is connected, and connects to the others. */
+    public void tell(Hint hint) {
+        byte[] bytes = codec.write(hint);
+        for (Settings.Member member : settings.members()) {
+            Channel line = lines.get(member.host());
+            if (line == null || !line.isActive()) {
+                connect(member);
+            } else if (line.isWritable()) {
+                line.writeAndFlush(Unpooled.wrappedBuffer(bytes));
+            } else {
+                // Cut off: what is queued would arrive minutes late and be of no use.
+                line.close();
+            }
+        }
+    }
+
+    private void connect(Settings.Member member) {
+        if (connecting.putIfAbsent(member.host(), true) != null) {
+            return;
+        }
+        new Bootstrap().group(loop).channel(NioSocketChannel.class).option(ChannelOption.CONNECT_TIMEOUT_MILLIS, Tuning.CONNECT_MS)
+                .handler(new ChannelInitializer<SocketChannel>() {
+                    @Override
+                    protected void initChannel(SocketChannel ch) {
+                        ch.pipeline().addLast(new LengthFieldPrepender(4), new Closer());
+                    }
+                }).connect(member.address().ip(), member.address().port()).addListener((io.netty.channel.ChannelFuture done) -> {
+                    connecting.remove(member.host());
+                    if (done.isSuccess()) {
+                        lines.put(member.host(), done.channel());
+                    }
+                });
+    }
+
+    private final class Hearer extends SimpleChannelInboundHandler<ByteBuf> {
+        @Override
+        protected void channelRead0(ChannelHandlerContext ctx, ByteBuf frame) {
+            Hint hint = codec.read(ByteBufUtil.getBytes(frame));
+            if (hint == null) {
+                ctx.close();
+            } else {
+                core.accept(new Command.PeerHint(hint));
+            }
+        }
+
+        @Override
+        public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
+            ctx.close();
+        }
+    }
+
+    /** Peers say nothing on a line that this node opened. */
+    private static final class Closer extends SimpleChannelInboundHandler<ByteBuf> {
+        @Override
+        protected void channelRead0(ChannelHandlerContext ctx, ByteBuf unexpected) {
+            ctx.close();
+        }
+
+        @Override
+        public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
+            ctx.close();
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/org/shoreusher/settings/Settings.java
@@ -0,0 +1,148 @@
+package org.shoreusher.settings;
+
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import org.shoreusher.wire.Tree;
+
+/** The validated settings file that the platform hands over. Unknown fields are ignored. */
+public record Settings(String host, String zone, Address front, Address back, List<Member> members,
+                       Address cloud, Address state, int nodes, List<String> zones,
+                       Map<String, Team> teams, List<Objective> objectives, double reportS,
+                       double workerLeaseS, double cancelS, double stateRps, double stateWriteRps,
+                       int valueBytes, int txnOps, double cloudRps, double listLagS, int sockets,
+                       long clockOffMs) {
+
+    /** A numeric address. */
+    public record Address(String ip, int port) {
+        @Override
+        public String toString() {
+            return ip + ":" + port;
+        }
+    }
+
+    /** Another controller. */
+    public record Member(String host, Address address) {
+    }
+
+    /** A team's guarantee and limit. */
+    public record Team(String name, double cpus, double cpusMax, double gpus, double gpusMax) {
+    }
+
+    /** An aim on starting or finishing, as the users stated it. */
+    public record Objective(String kind, String jobClass, double withinS, double share) {
+    }
+
+    /** Thrown with one clear sentence when the file can't be used. */
+    public static final class Invalid extends Exception {
+        private static final long serialVersionUID = 1L;
+
+        Invalid(String message) {
+            super(message);
+        }
+    }
+
+    /** Reads and checks a settings file. */
+    public static Settings load(Path file) throws Invalid {
+        byte[] bytes;
+        try {
+            bytes = Files.readAllBytes(file);
+        } catch (IOException e) {
+            throw new Invalid("cannot read settings file " + file + ": " + e.getMessage());
+        }
+        return parse(bytes);
+    }
+
+    /** Checks the bytes of a settings file. */
+    public static Settings parse(byte[] json) throws Invalid {
+        Tree root;
+        try {
+            root = Tree.json(json);
+        } catch (IOException e) {
+            throw new Invalid("settings are not valid JSON: " + e.getMessage().lines().findFirst().orElse(""));
+        }
+        try {
+            return read(root);
+        } catch (Tree.Missing e) {
+            throw new Invalid("settings: " + e.getMessage());
+        }
+    }
+
+    private static Settings read(Tree root) throws Tree.Missing, Invalid {
+        List<Member> members = new ArrayList<>();
+        for (Tree m : root.list("members")) {
+            members.add(new Member(m.text("host_name"), address(m.text("peer_addr"), "peer_addr")));
+        }
+        Tree ends = root.map("endpoints");
+        Tree d = root.map("deployment");
+        Map<String, Team> teams = new LinkedHashMap<>();
+        for (Tree t : d.list("teams")) {
+            Team team = new Team(t.text("name"), t.number("cpus"), t.number("cpus_max"), t.number("gpus"), t.number("gpus_max"));
+            teams.put(team.name(), team);
+        }
+        List<Objective> objectives = new ArrayList<>();
+        for (Tree o : d.list("objectives")) {
+            objectives.add(new Objective(o.text("kind"), o.textOr("class", ""), o.numberOr("within_s", Double.NaN), o.numberOr("share", Double.NaN)));
+        }
+        List<String> zones = d.texts("zones");
+        Tree workers = d.map("workers");
+        Tree state = d.map("state");
+        Tree cloud = d.map("cloud");
+        Settings s = new Settings(root.text("host_name"), root.text("zone"), address(root.text("front"), "front"),
+                address(root.text("back"), "back"), List.copyOf(members), address(ends.text("cloud"), "endpoints.cloud"),
+                address(ends.text("state"), "endpoints.state"), (int) d.number("count"), zones, teams,
+                List.copyOf(objectives), workers.number("report_s"), workers.number("lease_s"), workers.number("cancel_s"),
+                state.number("rps"), state.number("write_rps"), (int) (state.number("value_kb") * 1024),
+                (int) state.number("txn_ops"), cloud.number("rps"), cloud.number("list_lag_s"),
+                (int) d.map("limits").numberOr("sockets", 1_000), (long) d.number("clock_off_ms"));
+        s.check();
+        return s;
+    }
+
+    private void check() throws Invalid {
+        require(!host.isEmpty(), "host_name is empty");
+        require(nodes >= 1, "deployment.count must be at least 1");
+        require(reportS > 0 && workerLeaseS > reportS, "workers.lease_s must be longer than workers.report_s");
+        require(cancelS > 0, "workers.cancel_s must be above 0");
+        require(stateRps > 0 && stateWriteRps > 0 && cloudRps > 0, "the rates of state and cloud must be above 0");
+        require(txnOps >= 4, "state.txn_ops must be at least 4: a takeover changes three keys");
+        require(valueBytes >= 1024, "state.value_kb must be at least 1");
+        require(clockOffMs >= 0 && clockOffMs * 4 < Tuning.LEASE_MS, "clock_off_ms must be far below the lease of " + Tuning.LEASE_MS + " ms");
+        require(sockets > 2 * Tuning.OWN_SOCKETS, "limits.sockets must be above " + 2 * Tuning.OWN_SOCKETS);
+        for (Team t : teams.values()) {
+            require(t.cpus >= 0 && t.gpus >= 0 && t.cpusMax >= 0 && t.gpusMax >= 0, "team " + t.name + " has a negative amount");
+        }
+    }
+
+    private static void require(boolean ok, String message) throws Invalid {
+        if (!ok) {
+            throw new Invalid("settings: " + message);
+        }
+    }
+
+    private static Address address(String text, String field) throws Invalid {
+        int colon = text.lastIndexOf(':');
+        try {
+            int port = Integer.parseInt(text.substring(colon + 1));
+            if (colon > 0 && port > 0 && port < 65_536) {
+                return new Address(text.substring(0, colon), port);
+            }
+        } catch (NumberFormatException e) {
+            // told below, with the field's name
+        }
+        throw new Invalid("settings: " + field + " is not an address like 10.0.0.1:8080: '" + text + "'");
+    }
+
+    /** Reads an address out of a message; null if it is none. */
+    public static Address addressOrNull(String text) {
+        try {
+            return address(text, "addr");
+        } catch (Invalid e) {
+            return null;
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/org/shoreusher/settings/Tuning.java
@@ -0,0 +1,138 @@
+package org.shoreusher.settings;
+
+/**
+ * Every constant of the service, with its unit and the reason for its value. What an operator's
+ * deployment decides (rates, leases, limits) comes from the settings file and is not here.
+ */
+public final class Tuning {
+    private Tuning() {
+    }
+
+    // ---- part leases -------------------------------------------------------------------------
+    /** ms; how long a part's lease lasts without renewal. The design's value. */
+    public static final long LEASE_MS = 9_000;
+    /** ms; a heartbeat renews every third of the lease, so two may fail. */
+    public static final long HEARTBEAT_MS = LEASE_MS / 3;
+    /** ms; a heartbeat that got no answer is tried again after this, well inside the lease. */
+    public static final long HEARTBEAT_RETRY_MS = 400;
+    /** ms; owner stops this early and taker waits this long on top of the clocks' bound. */
+    public static final long LEASE_MARGIN_MS = 250;
+    /** share; steady clocks run up to 0.05% apart (protocol); twice that, for two of them. */
+    public static final double DRIFT = 0.001;
+    /** ms; an owner whose view of the store is older than this acts as if its lease had lapsed. */
+    public static final long VIEW_STALE_MS = 9_000;
+    /** ms; wait between two attempts to take a part, and per part already held. */
+    public static final long TAKE_PAUSE_MS = 700;
+    /** ms; what a silent machine's tasks are kept beyond the arithmetic bound. */
+    public static final long SILENT_MARGIN_MS = 500;
+    /** share of the value limit that one record of finished tasks may fill; the rest is slack. */
+    public static final double RECORD_FILL = 0.75;
+    /** number of parts; see docs/design.md for the figures behind it. */
+    public static final int PARTS = 1;
+
+    // ---- state service -----------------------------------------------------------------------
+    /** ms; a watch blocks this long, so the view's age is known to about this. */
+    public static final long WATCH_BLOCK_MS = 2_000;
+    /** ms; pause between watches, so that a burst of changes costs one request. */
+    public static final long WATCH_GAP_MS = 40;
+    /** ms; pause after a failed state call of the mirror. */
+    public static final long STATE_RETRY_MS = 300;
+    /** ms; a state call is given up after this; answers take 10 ms, now and then some hundred. */
+    public static final long STATE_TIMEOUT_MS = 1_500;
+    /** share of the state service's and cloud's rates that the nodes plan to use together. */
+    public static final double RATE_USE = 0.9;
+    /** share of a node's state tokens set aside for heartbeats. */
+    public static final double RENEWAL_SHARE = 0.1;
+    /** entries per page when the store is read; the service's own bound is 1,000. */
+    public static final int PAGE = 500;
+    /** ms; a node without a state answer for so long is not ready, so users go elsewhere. */
+    public static final long READY_STATE_MS = 4_500;
+    /** reads that validate answers to users in flight at once; further questions gather meanwhile. */
+    public static final int READS_AT_ONCE = 2;
+    /** final job states kept in memory per node; older ones are read from the store. */
+    public static final int FINAL_STATES = 20_000;
+
+    // ---- users -------------------------------------------------------------------------------
+    /** s; Retry-After when a request can't be taken just now. */
+    public static final int RETRY_AFTER_S = 1;
+    /** tasks; the protocol's bound on one job. */
+    public static final int MAX_TASKS = 100_000;
+    /** tries; how often a guarded user write is repeated after another change came first. */
+    public static final int WRITE_TRIES = 3;
+    /** user requests in work at once per node; more are answered 503 at once. */
+    public static final int MAX_USER_WORK = 200;
+
+    // ---- workers -----------------------------------------------------------------------------
+    /** share of report_s after which a machine without report gets no plans. */
+    public static final double QUIET_REPORTS = 2.5;
+    /** ms; pause between two direct halts of the same task. */
+    public static final long HALT_AGAIN_MS = 2_000;
+    /** ms; a direct call to a worker is given up after this. */
+    public static final long ORDERS_TIMEOUT_MS = 3_000;
+    /** bits of an attempt number below the term; 16 million starts in one term. */
+    public static final int ATTEMPT_BITS = 24;
+    /** failed tasks in a row, of different jobs, that make a machine faulty. */
+    public static final int FAULTY_ERRORS = 3;
+    /** ms; first pause after a task failed; doubles to FAIL_PAUSE_MAX_MS, for a job that always fails. */
+    public static final long FAIL_PAUSE_MS = 1_000;
+    /** ms; longest such pause. */
+    public static final long FAIL_PAUSE_MAX_MS = 30_000;
+
+    // ---- cloud -------------------------------------------------------------------------------
+    /** ms; a cloud call is given up after this; answers take 150 ms. */
+    public static final long CLOUD_TIMEOUT_MS = 4_000;
+    /** ms; how often the rental plan is made. */
+    public static final long RENT_EVERY_MS = 1_000;
+    /** ms; how often the machine list is read. */
+    public static final long LIST_EVERY_MS = 5_000;
+    /** ms; how often prices are read again. */
+    public static final long FLAVORS_EVERY_MS = 60_000;
+    /** ms; pause after a refused or failed cloud call. */
+    public static final long CLOUD_RETRY_MS = 1_000;
+    /** ms; a kind of machine refused for capacity is not asked for again for this long. */
+    public static final long NO_CAPACITY_MS = 8_000;
+    /** times the nominal boot time after which a machine is held to be dead and deleted. */
+    public static final double BOOT_PATIENCE = 4.0;
+    /** machines in one rental request at most (protocol: 50). */
+    public static final int RENT_AT_ONCE = 50;
+    /** machines in one return at most (protocol: 100). */
+    public static final int RETURN_AT_ONCE = 100;
+    /** ms; an idle machine is kept this long for work to come. */
+    public static final long IDLE_KEEP_MS = 20_000;
+    /** ms; below this age a machine costs its minimum anyway (protocol: 60 s). */
+    public static final long MIN_CHARGE_MS = 60_000;
+    /** s; outstanding work is rented for so that it takes about this long. */
+    public static final double RENT_HORIZON_S = 45;
+    /** ms; a machine that no list shows although it should is gone; slack on twice the list's lag. */
+    public static final long LIST_SLACK_MS = 3_000;
+
+    // ---- front -------------------------------------------------------------------------------
+    /** bytes; the protocol's bound on a request body. */
+    public static final int MAX_BODY = 64 * 1024;
+    /** bytes; a state answer has no bound for watches; one this long is treated as broken. */
+    public static final int MAX_STATE_BODY = 8 * 1024 * 1024;
+    /** s; a connection that sends nothing for so long is closed. */
+    public static final int IDLE_CONNECTION_S = 120;
+    /** s; a request that is begun must be complete within this. */
+    public static final int REQUEST_READ_S = 10;
+    /** sockets kept back from the front for the node's own calls. */
+    public static final int OWN_SOCKETS = 100;
+    /** ms; a connection attempt is given up after this. */
+    public static final int CONNECT_MS = 1_000;
+    /** idle connections kept per target. */
+    public static final int POOL_IDLE = 6;
+    /** calls in flight per target; more are failed at once. */
+    public static final int POOL_BUSY = 64;
+    /** commands that may wait for the core; more are refused. */
+    public static final int QUEUE = 4_096;
+    /** commands per batch; bounds the time between two clock readings. */
+    public static final int BATCH = 64;
+    /** s; how often the line on users' waiting is logged, at debug. */
+    public static final int LATENCY_LINE_S = 60;
+    /** ms; the core's tick. */
+    public static final long TICK_MS = 50;
+    /** ms; how often peers are told hints. */
+    public static final long HINT_MS = 1_000;
+    /** ms; a hint older than this is not used. */
+    public static final long HINT_STALE_MS = 5_000;
+}
--- /dev/null
+++ b/src/main/java/org/shoreusher/user/FrontServer.java
@@ -0,0 +1,250 @@
+package org.shoreusher.user;
+
+import io.netty.bootstrap.ServerBootstrap;
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.ByteBufUtil;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.ChannelFutureListener;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.channel.socket.SocketChannel;
+import io.netty.channel.socket.nio.NioServerSocketChannel;
+import io.netty.handler.codec.http.DefaultFullHttpResponse;
+import io.netty.handler.codec.http.FullHttpRequest;
+import io.netty.handler.codec.http.FullHttpResponse;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpHeaderValues;
+import io.netty.handler.codec.http.HttpMethod;
+import io.netty.handler.codec.http.HttpObjectAggregator;
+import io.netty.handler.codec.http.HttpResponseStatus;
+import io.netty.handler.codec.http.HttpServerCodec;
+import io.netty.handler.codec.http.HttpUtil;
+import io.netty.handler.codec.http.HttpVersion;
+import io.netty.util.concurrent.ScheduledFuture;
+import it.unimi.dsi.fastutil.longs.Long2ObjectOpenHashMap;
+import java.io.IOException;
+import java.util.Map;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Predicate;
+import org.HdrHistogram.Histogram;
+import org.shoreusher.core.Command;
+import org.shoreusher.core.Effect;
+import org.shoreusher.core.JobSpec;
+import org.shoreusher.core.WorkerReport;
+import org.shoreusher.settings.Settings;
+import org.shoreusher.settings.Tuning;
+import org.shoreusher.wire.Tree;
+import org.shoreusher.wire.UserFormat;
+import org.shoreusher.wire.WorkerFormat;
+
+/** The node's front: users, workers and health checks. Bodies are read here; the core decides. */
+public final class FrontServer {
+    private static final String JOBS = "/v2/runs";
+    private static final String CANCEL = "/cancel";
+
+    private record Waiting(ChannelHandlerContext channel, boolean keepAlive, long sinceNs, boolean user) {
+    }
+
+    private final EventLoopGroup loop;
+    private final Settings settings;
+    private final Predicate<Command> core;
+    private final Long2ObjectOpenHashMap<Waiting> waiting = new Long2ObjectOpenHashMap<>();
+    private final Histogram userLatency = new Histogram(TimeUnit.SECONDS.toMicros(60), 2);
+    private long nextRequest = 1;
+    private int connections;
+
+    /** @param core takes a command, or refuses it when too many wait */
+    public FrontServer(EventLoopGroup loop, Settings settings, Predicate<Command> core) {
+        this.loop = loop;
+        this.settings = settings;
+        this.core = core;
+    }
+
+    /** Begins to listen. */
+    public void listen() throws InterruptedException {
+        new ServerBootstrap().group(loop).channel(NioServerSocketChannel.class).option(ChannelOption.SO_REUSEADDR, true)
+                .option(ChannelOption.SO_BACKLOG, 256).childOption(ChannelOption.TCP_NODELAY, true)
+                .childHandler(new ChannelInitializer<SocketChannel>() {
+                    @Override
+                    protected void initChannel(SocketChannel ch) {
+                        Pace pace = new Pace();
+                        ch.pipeline().addLast(pace, new HttpServerCodec(), new HttpObjectAggregator(Tuning.MAX_BODY), new Requests(pace));
+                    }
+                }).bind(settings.front().ip(), settings.front().port()).sync();
+    }
+
+    /** Sends the core's answer, if the one who asked is still there. */
+    public void answer(Effect.Answer answer) {
+        Waiting w = waiting.remove(answer.request());
+        if (w == null) {
+            return;
+        }
+        if (w.user) {
+            userLatency.recordValue(Math.min(userLatency.getHighestTrackableValue(), TimeUnit.NANOSECONDS.toMicros(System.nanoTime() - w.sinceNs)));
+        }
+        send(w.channel, w.keepAlive, answer.status(), answer.body(), answer.retryAfterS());
+    }
+
+    /** How long users have waited since the last call, as one line. */
+    public String latency() {
+        String line = "users: " + userLatency.getTotalCount() + " answers, median " + userLatency.getValueAtPercentile(50) / 1000.0 + " ms, 99% "
+                + userLatency.getValueAtPercentile(99) / 1000.0 + " ms, most " + userLatency.getMaxValue() / 1000.0 + " ms; " + connections + " connections";
+        userLatency.reset();
+        return line;
+    }
+
+    private static void send(ChannelHandlerContext ctx, boolean keepAlive, int status, Map<String, Object> body, int retryAfterS) {
+        FullHttpResponse response = new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.valueOf(status),
+                Unpooled.wrappedBuffer(Tree.toCbor(body)));
+        response.headers().set(HttpHeaderNames.CONTENT_TYPE, "application/cbor");
+        HttpUtil.setContentLength(response, response.content().readableBytes());
+        if (retryAfterS > 0) {
+            response.headers().set(HttpHeaderNames.RETRY_AFTER, retryAfterS);
+        }
+        if (!keepAlive) {
+            response.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
+        }
+        ctx.writeAndFlush(response).addListener(keepAlive ? ChannelFutureListener.CLOSE_ON_FAILURE : ChannelFutureListener.CLOSE);
+        ctx.channel().config().setAutoRead(true);
+    }
+
+    /** Bounds how long a connection may be idle, and how long a request may take to arrive. */
+    private final class Pace extends ChannelInboundHandlerAdapter {
+        private ScheduledFuture<?> limit;
+        private boolean inRequest;
+
+        void begin(ChannelHandlerContext ctx, int seconds) {
+            if (limit != null) {
+                limit.cancel(false);
+            }
+            limit = ctx.executor().schedule(() -> ctx.close(), seconds, TimeUnit.SECONDS);
+        }
+
+        void complete(ChannelHandlerContext ctx) {
+            inRequest = false;
+            begin(ctx, Tuning.IDLE_CONNECTION_S);
+        }
+
+        @Override
+        public void channelActive(ChannelHandlerContext ctx) {
+            if (++connections > settings.sockets() - Tuning.OWN_SOCKETS) {
+                ctx.close();
+                return;
+            }
+            begin(ctx, Tuning.IDLE_CONNECTION_S);
+            ctx.fireChannelActive();
+        }
+
+        @Override
+        public void channelRead(ChannelHandlerContext ctx, Object bytes) {
+            if (!inRequest) {
+                inRequest = true;
+                begin(ctx, Tuning.REQUEST_READ_S);
+            }
+            ctx.fireChannelRead(bytes);
+        }
+
+        @Override
+        public void channelInactive(ChannelHandlerContext ctx) {
+            connections--;
+            if (limit != null) {
+                limit.cancel(false);
+            }
+            ctx.fireChannelInactive();
+        }
+    }
+
+    /** Turns requests into commands. */
+    private final class Requests extends SimpleChannelInboundHandler<FullHttpRequest> {
+        private final Pace pace;
+        private long current;
+
+        Requests(Pace pace) {
+            this.pace = pace;
+        }
+
+        @Override
+        protected void channelRead0(ChannelHandlerContext ctx, FullHttpRequest http) {
+            pace.complete(ctx);
+            boolean keepAlive = HttpUtil.isKeepAlive(http);
+            if (!http.decoderResult().isSuccess()) {
+                send(ctx, false, 400, Map.of("error", "malformed HTTP"), 0);
+                return;
+            }
+            String path = http.uri();
+            boolean user = path.startsWith(JOBS);
+            current = nextRequest++;
+            Command command = command(ctx, keepAlive, http, path);
+            if (command == null) {
+                return;
+            }
+            waiting.put(current, new Waiting(ctx, keepAlive, System.nanoTime(), user));
+            // One request at a time: nothing is read on until this one is answered.
+            ctx.channel().config().setAutoRead(false);
+            if (!core.test(command)) {
+                waiting.remove(current);
+                send(ctx, keepAlive, 503, Map.of(), Tuning.RETRY_AFTER_S);
+            }
+        }
+
+        private Command command(ChannelHandlerContext ctx, boolean keepAlive, FullHttpRequest http, String path) {
+            boolean post = http.method().equals(HttpMethod.POST);
+            boolean get = http.method().equals(HttpMethod.GET);
+            if (post && path.equals("/hello")) {
+                try {
+                    WorkerReport report = WorkerFormat.report(Tree.cbor(bytes(http.content())));
+                    return new Command.Report(current, report);
+                } catch (IOException | Tree.Missing e) {
+                    send(ctx, keepAlive, 400, Map.of("error", String.valueOf(e.getMessage())), 0);
+                    return null;
+                }
+            }
+            if (post && path.equals(JOBS)) {
+                return submission(bytes(http.content()));
+            }
+            if (get && path.startsWith(JOBS + "/")) {
+                return new Command.Poll(current, path.substring(JOBS.length() + 1));
+            }
+            if (post && path.startsWith(JOBS + "/") && path.endsWith(CANCEL)) {
+                return new Command.Cancel(current, path.substring(JOBS.length() + 1, path.length() - CANCEL.length()));
+            }
+            if (get && path.equals("/ready")) {
+                return new Command.Ready(current);
+            }
+            send(ctx, keepAlive, path.equals(JOBS) || path.equals("/hello") || path.equals("/ready") ? 405 : 404, Map.of("error", "no such path or method"), 0);
+            return null;
+        }
+
+        private Command submission(byte[] body) {
+            String id = null;
+            try {
+                Tree t = Tree.cbor(body);
+                id = t.textOr("name_id", null);
+                JobSpec spec = UserFormat.job(t);
+                return new Command.Submit(current, id, spec, null);
+            } catch (IOException e) {
+                return new Command.Submit(current, null, null, "the body is not one CBOR map");
+            } catch (Tree.Missing e) {
+                return new Command.Submit(current, id, null, e.getMessage());
+            }
+        }
+
+        private byte[] bytes(ByteBuf buf) {
+            return ByteBufUtil.getBytes(buf);
+        }
+
+        @Override
+        public void channelInactive(ChannelHandlerContext ctx) {
+            waiting.remove(current);
+        }
+
+        @Override
+        public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
+            ctx.close();
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/org/shoreusher/wire/CloudFormat.java
@@ -0,0 +1,62 @@
+package org.shoreusher.wire;
+
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import org.shoreusher.core.Command.ListPage;
+import org.shoreusher.core.Command.Listed;
+import org.shoreusher.core.Effect.CloudOp;
+import org.shoreusher.core.MachineType;
+
+/** Requests to the cloud and their answers. */
+public final class CloudFormat {
+    private static final int PAGE = 500;
+
+    private CloudFormat() {
+    }
+
+    public static StateFormat.Request request(CloudOp op) {
+        if (op instanceof CloudOp.Types) {
+            return new StateFormat.Request("/flavors", null);
+        }
+        if (op instanceof CloudOp.Listing list) {
+            String after = list.after() == null ? "" : "after=" + list.after() + "&";
+            return new StateFormat.Request("/rentals?" + after + "most=" + PAGE, null);
+        }
+        Map<String, Object> body = new LinkedHashMap<>();
+        if (op instanceof CloudOp.Return back) {
+            body.put("boxes", back.machines());
+            return new StateFormat.Request("/rentals/return", body);
+        }
+        CloudOp.Rent rent = (CloudOp.Rent) op;
+        body.put("hire", rent.name());
+        body.put("press", rent.type());
+        body.put("yard", rent.zone());
+        body.put("loaners", rent.spot());
+        body.put("number", (long) rent.count());
+        return new StateFormat.Request("/rentals", body);
+    }
+
+    public static List<MachineType> types(Tree t) throws Tree.Missing {
+        List<MachineType> out = new ArrayList<>();
+        for (Tree m : t.list("presses")) {
+            double price = m.numberOr("rate", 1);
+            out.add(new MachineType(m.text("sku"), m.number("cpus"), m.numberOr("gpus", 0), m.number("mem_gb"), m.numberOr("cache_gb", 0),
+                    m.numberOr("pull_gb_per_s", 1), price, m.numberOr("low_price", price), m.numberOr("ready_s", 60), m.texts("yards")));
+        }
+        return out;
+    }
+
+    public static List<String> rented(Tree t) throws Tree.Missing {
+        return t.texts("boxes");
+    }
+
+    public static ListPage machines(Tree t) throws Tree.Missing {
+        List<Listed> out = new ArrayList<>();
+        for (Tree m : t.list("boxes")) {
+            out.add(new Listed(m.text("name_id"), m.text("press"), m.text("yard"), m.flagOr("loaners", false), m.text("status"), m.numberOr("age_s", 0)));
+        }
+        return new ListPage(out, t.flagOr("more", false));
+    }
+}
--- /dev/null
+++ b/src/main/java/org/shoreusher/wire/UserFormat.java
@@ -0,0 +1,140 @@
+package org.shoreusher.wire;
+
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import org.shoreusher.core.JobSpec;
+import org.shoreusher.core.JobSpec.Priority;
+import org.shoreusher.settings.Tuning;
+
+/** Jobs on the wire. The same map describes a job in the state service. */
+public final class UserFormat {
+    private UserFormat() {
+    }
+
+    /** Whether this has the form of a job id. */
+    public static boolean isId(String id) {
+        if (id == null || id.length() < 4 || id.length() > 40 || !id.startsWith("wk-")) {
+            return false;
+        }
+        for (int i = 3; i < id.length(); i++) {
+            if (id.charAt(i) < '0' || id.charAt(i) > '9') {
+                return false;
+            }
+        }
+        return true;
+    }
+
+    /** Reads a job; {@link Tree.Missing} says what is wrong with it. */
+    public static JobSpec job(Tree t) throws Tree.Missing {
+        String id = t.text("name_id");
+        need(isId(id), "name_id must look like wk-000412");
+        // Gangs and other shapes will get their own reading here; none is specified today.
+        need("sweep".equals(t.text("shape")), "shape must be sweep");
+        long tasks = t.whole("sheets");
+        need(tasks >= 1 && tasks <= Tuning.MAX_TASKS, "sheets must be between 1 and " + Tuning.MAX_TASKS);
+        double cpus = amount(t, "cpus");
+        double gpus = amount(t, "gpus");
+        double mem = amount(t, "mem_gb");
+        List<String> types = t.has("presses") ? t.texts("presses") : null;
+        double deadline = t.has("due_s") ? amount(t, "due_s") : Double.NaN;
+        return new JobSpec(id, t.text("queue"), t.text("crew"), priority(t.text("urgency")), (int) tasks, cpus, gpus, mem,
+                t.text("plate"), amount(t, "size_gb"), types, t.textOr("yard", null), t.flagOr("one_zone", false),
+                t.flagOr("scatter", false), t.flagOr("loaners", false), amount(t, "runtime_s"),
+                amountOr(t, "proof_interval_s"), amountOr(t, "proof_s"), deadline);
+    }
+
+    private static double amount(Tree t, String field) throws Tree.Missing {
+        double v = t.number(field);
+        need(v >= 0, field + " must not be negative");
+        return v;
+    }
+
+    private static double amountOr(Tree t, String field) throws Tree.Missing {
+        return t.has(field) ? amount(t, field) : 0;
+    }
+
+    private static void need(boolean ok, String message) throws Tree.Missing {
+        if (!ok) {
+            throw new Tree.Missing(message);
+        }
+    }
+
+    private static Priority priority(String text) throws Tree.Missing {
+        return switch (text) {
+            case "prod" -> Priority.PRODUCTION;
+            case "high" -> Priority.HIGH;
+            case "standard" -> Priority.NORMAL;
+            case "low" -> Priority.LOW;
+            default -> throw new Tree.Missing("urgency must be prod, high, standard or low");
+        };
+    }
+
+    private static String text(Priority p) {
+        return switch (p) {
+            case PRODUCTION -> "prod";
+            case HIGH -> "high";
+            case NORMAL -> "standard";
+            case LOW -> "low";
+        };
+    }
+
+    /** The job as a map, such that {@link #job} reads it back. */
+    public static Map<String, Object> map(JobSpec j) {
+        Map<String, Object> m = new LinkedHashMap<>();
+        m.put("name_id", j.id());
+        m.put("queue", j.jobClass());
+        m.put("crew", j.team());
+        m.put("shape", "sweep");
+        m.put("urgency", text(j.priority()));
+        m.put("sheets", (long) j.tasks());
+        m.put("cpus", j.cpus());
+        m.put("gpus", j.gpus());
+        m.put("mem_gb", j.memGb());
+        m.put("plate", j.image());
+        m.put("size_gb", j.imageGb());
+        if (j.types() != null) {
+            m.put("presses", j.types());
+        }
+        if (j.zone() != null) {
+            m.put("yard", j.zone());
+        }
+        m.put("one_zone", j.oneZone());
+        m.put("scatter", j.spread());
+        m.put("loaners", j.spot());
+        m.put("runtime_s", j.estimateS());
+        m.put("proof_interval_s", j.checkpointS());
+        m.put("proof_s", j.saveS());
+        if (!Double.isNaN(j.deadlineS())) {
+            m.put("due_s", j.deadlineS());
+        }
+        return m;
+    }
+
+    /** States as users see them. */
+    public enum Shown {
+        PENDING("pending"), RUNNING("running"), DONE("done"), CANCELLED("aborted");
+
+        private final String text;
+
+        Shown(String text) {
+            this.text = text;
+        }
+    }
+
+    /** The answer to a submission or a cancellation. */
+    public static Map<String, Object> status(String id, Shown shown) {
+        Map<String, Object> m = new LinkedHashMap<>();
+        m.put("name_id", id);
+        m.put("status", shown.text);
+        return m;
+    }
+
+    /** The answer to a poll. */
+    public static Map<String, Object> status(String id, Shown shown, int done, int running) {
+        Map<String, Object> m = status(id, shown);
+        m.put("done", (long) done);
+        m.put("running", (long) running);
+        return m;
+    }
+}
--- /dev/null
+++ b/src/main/java/org/shoreusher/wire/WorkerFormat.java
@@ -0,0 +1,101 @@
+package org.shoreusher.wire;
+
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import org.shoreusher.core.WorkerOrder;
+import org.shoreusher.core.WorkerReport;
+import org.shoreusher.core.WorkerReport.Cause;
+import org.shoreusher.core.WorkerReport.TaskReport;
+import org.shoreusher.core.WorkerReport.TaskState;
+
+/** Reports and commands on the wire. */
+public final class WorkerFormat {
+    private WorkerFormat() {
+    }
+
+    /** Reads a report. */
+    public static WorkerReport report(Tree t) throws Tree.Missing {
+        List<TaskReport> tasks = new ArrayList<>();
+        for (Tree s : t.list("sheets")) {
+            String name = s.text("sheet");
+            int slash = name.lastIndexOf('/');
+            if (slash < 1) {
+                throw new Tree.Missing("sheet must look like wk-000412/3");
+            }
+            int index;
+            try {
+                index = Integer.parseInt(name.substring(slash + 1));
+            } catch (NumberFormatException e) {
+                throw new Tree.Missing("sheet must look like wk-000412/3");
+            }
+            TaskState state = state(s.text("status"));
+            tasks.add(new TaskReport(name.substring(0, slash), index, s.whole("try"), state,
+                    state == TaskState.EXITED ? cause(s.textOr("cause", "")) : Cause.NONE));
+        }
+        return new WorkerReport(t.text("box"), t.textOr("addr", ""), t.text("press"), t.text("yard"), t.flagOr("loaners", false),
+                t.whole("shift"), t.whole("tally"), t.wholeOr("baton", 0), t.numberOr("warning_s", Double.NaN), tasks);
+    }
+
+    private static TaskState state(String text) {
+        return switch (text) {
+            case "pulling", "gathering" -> TaskState.FETCHING;
+            case "flushing" -> TaskState.SAVING;
+            case "exited" -> TaskState.EXITED;
+            // A state not known yet holds the machine's room, like a running task.
+            default -> TaskState.RUNNING;
+        };
+    }
+
+    private static Cause cause(String text) {
+        return switch (text) {
+            case "done" -> Cause.DONE;
+            case "halted" -> Cause.STOPPED;
+            case "no_room" -> Cause.NO_ROOM;
+            case "in_use" -> Cause.BUSY;
+            case "unknown" -> Cause.UNKNOWN;
+            default -> Cause.ERROR;
+        };
+    }
+
+    /** The commands as a list of maps. */
+    public static List<Object> orders(List<WorkerOrder> orders) {
+        List<Object> out = new ArrayList<>(orders.size());
+        for (WorkerOrder o : orders) {
+            Map<String, Object> m = new LinkedHashMap<>();
+            m.put("verb", switch (o.kind()) {
+                case START -> "run";
+                case STOP -> "halt";
+                case FORGET -> "forget";
+            });
+            m.put("sheet", o.job() + "/" + o.index());
+            m.put("try", o.attempt());
+            if (o.kind() == WorkerOrder.Kind.STOP) {
+                m.put("wind_down_s", o.graceS());
+            }
+            out.add(m);
+        }
+        return out;
+    }
+
+    /** The answer to a report. */
+    public static Map<String, Object> answer(long term, List<WorkerOrder> orders) {
+        Map<String, Object> m = new LinkedHashMap<>();
+        m.put("baton", term);
+        m.put("orders", orders(orders));
+        return m;
+    }
+
+    /** The body of a direct command. */
+    public static Map<String, Object> direct(long term, long session, List<WorkerOrder> orders) {
+        Map<String, Object> m = answer(term, orders);
+        m.put("shift", session);
+        return m;
+    }
+
+    /** The answer that sends a worker elsewhere. */
+    public static Map<String, Object> elsewhere(String node) {
+        return node == null ? Map.of() : Map.of("foreman", node);
+    }
+}
