--- /dev/null
+++ b/src/test/java/org/shoreusher/model/CloudModel.java
@@ -0,0 +1,111 @@
+package org.shoreusher.model;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import org.shoreusher.core.Effect.CloudOp;
+
+/** A stand-in of the cloud with one type of machine, two zones, lists that lag, and machines that never boot. */
+final class CloudModel {
+    static final String TYPE = "box";
+    static final double CPUS = 8;
+    private static final int CAPACITY = 8;
+
+    private final World world;
+    private final TreeMap<String, WorkerModel> machines = new TreeMap<>();
+    private final TreeMap<Long, List<Object>> lists = new TreeMap<>();
+    private final Map<String, Map<String, Object>> hires = new HashMap<>();
+    private long outageUntil;
+    private int named;
+
+    CloudModel(World world) {
+        this.world = world;
+        snapshot();
+    }
+
+    void outage(long forMs) {
+        outageUntil = world.now + forMs;
+    }
+
+    Iterable<WorkerModel> machines() {
+        return new ArrayList<>(machines.values());
+    }
+
+    WorkerModel byAddress(String address) {
+        return machines.values().stream().filter(w -> w.address().equals(address)).findFirst().orElse(null);
+    }
+
+    void take(WorkerModel w) {
+        machines.remove(w.id);
+        w.destroy();
+    }
+
+    private void snapshot() {
+        List<Object> list = new ArrayList<>();
+        for (WorkerModel w : machines.values()) {
+            Map<String, Object> m = new LinkedHashMap<>();
+            m.put("name_id", w.id);
+            m.put("press", TYPE);
+            m.put("yard", w.zone);
+            m.put("loaners", w.spot);
+            m.put("status", w.up() ? "running" : "booting");
+            m.put("age_s", (world.now - w.rentedAt) / 1000.0);
+            list.add(m);
+        }
+        lists.put(world.now, list);
+        world.in(500, this::snapshot);
+    }
+
+    void handle(CloudOp op, World.Reply reply) {
+        if (world.now < outageUntil) {
+            reply.answer(503, Map.of("error", "trouble"));
+        } else if (op instanceof CloudOp.Types) {
+            reply.answer(200, Map.of("presses", List.of(Map.of("sku", TYPE, "cpus", CPUS, "mem_gb", 32.0, "rate", 1.0, "low_price", 0.4,
+                    "ready_s", 5.0, "yards", List.of("a", "b")))));
+        } else if (op instanceof CloudOp.Listing) {
+            long lag = (long) (world.settings.listLagS() * 1000 * 2 * world.random.nextDouble());
+            Map.Entry<Long, List<Object>> e = lists.floorEntry(Math.max(0, world.now - lag));
+            reply.answer(200, Map.of("boxes", e.getValue(), "more", false));
+        } else if (op instanceof CloudOp.Return back) {
+            for (String id : back.machines()) {
+                WorkerModel w = machines.get(id);
+                if (w != null) {
+                    take(w);
+                }
+            }
+            reply.answer(200, Map.of());
+        } else {
+            rent((CloudOp.Rent) op, reply);
+        }
+    }
+
+    private void rent(CloudOp.Rent rent, World.Reply reply) {
+        Map<String, Object> before = hires.get(rent.name());
+        if (before != null) {
+            reply.answer(200, before);
+            return;
+        }
+        long used = machines.values().stream().filter(w -> w.zone.equals(rent.zone()) && w.spot == rent.spot()).count();
+        int count = (int) Math.min(rent.count(), CAPACITY - used);
+        if (count <= 0) {
+            reply.answer(503, Map.of("error", "no capacity"));
+            return;
+        }
+        List<Object> names = new ArrayList<>();
+        for (int i = 0; i < count; i++) {
+            String id = String.format("host-%06d", named++);
+            WorkerModel w = new WorkerModel(world, id, rent.zone(), rent.spot(), named);
+            machines.put(id, w);
+            names.add(id);
+            if (world.random.nextInt(12) > 0) {
+                world.in(500 + world.random.nextInt(8_000), w::boot);
+            }
+        }
+        Map<String, Object> answer = Map.of("boxes", names);
+        hires.put(rent.name(), answer);
+        reply.answer(200, answer);
+    }
+}
--- /dev/null
+++ b/src/test/java/org/shoreusher/model/ClusterModelTest.java
@@ -0,0 +1,149 @@
+package org.shoreusher.model;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Random;
+import net.jqwik.api.Example;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.ShrinkingMode;
+import net.jqwik.api.constraints.LongRange;
+import org.shoreusher.model.World.Sabotage;
+import org.shoreusher.model.World.Trouble;
+import org.shoreusher.settings.Settings;
+
+/**
+ * Drives whole clusters through generated troubles and checks every rule of the protocol. The last tests
+ * take one guard away each, and expect the checks to notice.
+ */
+class ClusterModelTest {
+    private static final long END_MS = 260_000;
+
+    static Settings settings() {
+        Map<String, Settings.Team> teams = Map.of("team-0", new Settings.Team("team-0", 16, 24, 0, 0), "team-1", new Settings.Team("team-1", 8, 16, 0, 0));
+        Settings.Address nowhere = new Settings.Address("127.0.0.1", 1);
+        return new Settings("node", "a", nowhere, nowhere, List.of(), nowhere, nowhere, 3, List.of("a", "b"), teams, List.of(), 1.5, 8, 30,
+                400, 100, 4096, 12, 10, 3, 1000, 80);
+    }
+
+    private static World world(long seed, Sabotage sabotage, List<Trouble> troubles) {
+        World w = new World(seed, settings(), sabotage);
+        for (int i = 0; i < 40; i++) {
+            w.users.submit(i, 1_000 + w.random.nextInt(120_000));
+        }
+        for (int i = 0; i < 10; i++) {
+            w.at(w.random.nextInt(200_000), w.users::askUnknown);
+        }
+        w.run(END_MS, troubles);
+        w.rules.end();
+        return w;
+    }
+
+    /** Troubles of every kind, at random times between 10 and 140 s, so that the end is quiet. */
+    private static List<Trouble> troubles(long seed) {
+        Random r = new Random(seed * 31 + 7);
+        List<Trouble> list = new ArrayList<>();
+        int count = 3 + r.nextInt(8);
+        for (int i = 0; i < count; i++) {
+            long at = 10_000 + r.nextInt(130_000);
+            int node = r.nextInt(3);
+            long length = 500 + r.nextInt(30_000);
+            String host = "node-" + node;
+            list.add(new Trouble(at, switch (r.nextInt(11)) {
+                case 0 -> w -> w.processes.get(node).kill(200 + length / 4);
+                case 1 -> w -> w.processes.forEach(p -> p.kill(200 + w.random.nextInt(4_000)));
+                case 2 -> w -> w.state.outage(length);
+                case 3 -> w -> w.state.refuse(host, length);
+                case 4 -> w -> w.cut(host, "state", length);
+                case 5 -> w -> w.processes.get(node).starve(length / 2);
+                case 6 -> w -> {
+                    for (WorkerModel m : w.cloud.machines()) {
+                        w.cut(host, m.id, length);
+                    }
+                };
+                case 7 -> w -> {
+                    for (WorkerModel m : w.cloud.machines()) {
+                        if (w.random.nextInt(3) == 0) {
+                            m.hang(length);
+                        }
+                    }
+                };
+                case 8 -> w -> {
+                    for (WorkerModel m : w.cloud.machines()) {
+                        if (w.random.nextInt(3) == 0) {
+                            w.cloud.take(m);
+                        }
+                    }
+                };
+                case 9 -> w -> w.cloud.outage(length);
+                default -> w -> {
+                    for (WorkerModel m : w.cloud.machines()) {
+                        if (w.random.nextInt(3) == 0) {
+                            w.processes.forEach(p -> w.cut(p.host, m.id, length));
+                        }
+                    }
+                };
+            }));
+        }
+        return list;
+    }
+
+    @Property(tries = 60, seed = "4711", shrinking = ShrinkingMode.OFF)
+    void keepsTheRulesThroughTroubles(@ForAll @LongRange(min = 0, max = 1_000_000) long seed) {
+        World w = world(seed, Sabotage.NONE, troubles(seed));
+        assertEquals(List.of(), w.rules.violations, () -> "seed " + seed + "\n" + String.join("\n", w.log));
+        assertTrue(w.rules.starts > 100, "hardly anything ran: " + w.rules.starts);
+    }
+
+    @Property(tries = 15, seed = "815", shrinking = ShrinkingMode.OFF)
+    void finishesEverythingOnceItIsQuiet(@ForAll @LongRange(min = 0, max = 1_000_000) long seed) {
+        World w = world(seed, Sabotage.NONE, troubles(seed));
+        List<String> open = w.users.wishes.values().stream().filter(x -> !x.doneTold && !x.cancelTold).map(x -> x.spec.id()).toList();
+        assertEquals(List.of(), open, () -> "seed " + seed + "\n" + String.join("\n", w.log));
+    }
+
+    @Example
+    void sameSeedSameDay() {
+        World one = world(5, Sabotage.NONE, troubles(5));
+        World two = world(5, Sabotage.NONE, troubles(5));
+        assertEquals(one.log, two.log);
+        assertEquals(one.rules.starts, two.rules.starts);
+    }
+
+    private static boolean noticed(Sabotage sabotage) {
+        for (long seed = 0; seed < 40; seed++) {
+            if (!world(seed, sabotage, troubles(seed)).rules.violations.isEmpty()) {
+                return true;
+            }
+        }
+        return false;
+    }
+
+    @Example
+    void noticesWhenGuardsAreIgnored() {
+        assertTrue(noticed(Sabotage.GUARDS_IGNORED));
+    }
+
+    @Example
+    void noticesWhenWorkersOutliveTheirLeases() {
+        assertTrue(noticed(Sabotage.WORKERS_OUTLIVE_LEASES));
+    }
+
+    @Example
+    void noticesWhenClocksAreFarOff() {
+        assertTrue(noticed(Sabotage.CLOCKS_FAR_OFF));
+    }
+
+    /** An outage longer than the lease: the owner keeps its workers alive, and its tasks go on. */
+    @Example
+    void keepsWorkThroughAnOutageLongerThanTheLease() {
+        World w = world(3, Sabotage.NONE, List.of(new Trouble(60_000, x -> x.state.outage(11_000))));
+        assertEquals(List.of(), w.rules.violations);
+        assertFalse(w.log.stream().anyMatch(l -> l.contains("lost its lease")), () -> String.join("\n", w.log));
+    }
+}
--- /dev/null
+++ b/src/test/java/org/shoreusher/model/StateModel.java
@@ -0,0 +1,177 @@
+package org.shoreusher.model;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import org.shoreusher.core.Effect.StateOp;
+import org.shoreusher.settings.Tuning;
+
+/** A stand-in of the state service, as the protocol describes it; it keeps few changes, so that 410 comes up. */
+final class StateModel {
+    private static final int LOG = 300;
+
+    private record Item(Map<String, Object> value, long version) {
+    }
+
+    private record Change(long revision, String key, Map<String, Object> value) {
+    }
+
+    private record Waiter(StateOp.Watch watch, String host, long until, World.Reply reply) {
+    }
+
+    private final World world;
+    private final TreeMap<String, Item> items = new TreeMap<>();
+    private final List<Change> changes = new ArrayList<>();
+    private final List<Waiter> waiters = new ArrayList<>();
+    private final Map<String, Long> refusedUntil = new HashMap<>();
+    private long revision;
+    private long forgotten;
+    private long outageUntil;
+
+    StateModel(World world) {
+        this.world = world;
+    }
+
+    void outage(long forMs) {
+        outageUntil = world.now + forMs;
+    }
+
+    /** Refuses one node alone. */
+    void refuse(String host, long forMs) {
+        refusedUntil.put(host, world.now + forMs);
+    }
+
+    private boolean away(String host) {
+        return world.now < outageUntil || world.now < refusedUntil.getOrDefault(host, 0L);
+    }
+
+    Map<String, Object> value(String key) {
+        Item i = items.get(key);
+        return i == null ? null : i.value;
+    }
+
+    void handle(String host, StateOp op, World.Reply reply) {
+        if (away(host)) {
+            reply.answer(503, null);
+        } else if (op instanceof StateOp.Get get) {
+            Item i = items.get(get.key());
+            if (i == null) {
+                reply.answer(404, Map.of("ledger", revision));
+            } else {
+                reply.answer(200, entry(get.key(), i));
+            }
+        } else if (op instanceof StateOp.Page page) {
+            page(page, reply);
+        } else if (op instanceof StateOp.Watch watch) {
+            Waiter w = new Waiter(watch, host, world.now + watch.blockMs(), reply);
+            if (!answer(w)) {
+                waiters.add(w);
+                world.in(watch.blockMs(), () -> expire(w));
+            }
+        } else {
+            multi((StateOp.Multi) op, reply);
+        }
+    }
+
+    private static Map<String, Object> entry(String key, Item i) {
+        Map<String, Object> m = new LinkedHashMap<>();
+        m.put("k", key);
+        m.put("value", i.value);
+        m.put("stamp", i.version);
+        return m;
+    }
+
+    private void page(StateOp.Page page, World.Reply reply) {
+        List<Object> entries = new ArrayList<>();
+        boolean more = false;
+        // Pages of 20 keys, so that every reading takes several and other writes come between.
+        for (Map.Entry<String, Item> e : page.after() == null ? items.entrySet() : items.tailMap(page.after(), false).entrySet()) {
+            if (entries.size() == 20) {
+                more = true;
+                break;
+            }
+            entries.add(entry(e.getKey(), e.getValue()));
+        }
+        reply.answer(200, Map.of("entries", entries, "more", more, "ledger", revision));
+    }
+
+    private void multi(StateOp.Multi op, World.Reply reply) {
+        if (op.writes().size() > world.settings.txnOps() || op.guards().size() > 4 * world.settings.txnOps()) {
+            throw new AssertionError("transaction above its limits: " + op);
+        }
+        List<Object> failed = new ArrayList<>();
+        op.guards().forEach((key, version) -> {
+            Item i = items.get(key);
+            if ((i == null ? 0 : i.version) != version) {
+                failed.add(key);
+            }
+        });
+        if (!failed.isEmpty() && world.sabotage != World.Sabotage.GUARDS_IGNORED) {
+            reply.answer(409, Map.of("failed", failed, "ledger", revision));
+            return;
+        }
+        if (!op.writes().isEmpty()) {
+            revision++;
+            op.writes().forEach((key, value) -> {
+                Map<String, Object> copy = World.copy(value);
+                if (copy == null) {
+                    items.remove(key);
+                } else {
+                    if (org.shoreusher.wire.Tree.toCbor(copy).length > world.settings.valueBytes()) {
+                        throw new AssertionError("value above its limit: " + key);
+                    }
+                    items.put(key, new Item(copy, revision));
+                }
+                changes.add(new Change(revision, key, copy));
+            });
+            while (changes.size() > LOG) {
+                forgotten = changes.remove(0).revision;
+            }
+            for (Waiter w : new ArrayList<>(waiters)) {
+                if (!away(w.host) && answer(w)) {
+                    waiters.remove(w);
+                }
+            }
+        }
+        reply.answer(200, Map.of("ledger", revision));
+    }
+
+    private boolean answer(Waiter w) {
+        if (w.watch.after() < forgotten) {
+            w.reply.answer(410, null);
+            return true;
+        }
+        List<Object> log = new ArrayList<>();
+        for (Change c : changes) {
+            if (c.revision > w.watch.after()) {
+                Map<String, Object> m = new LinkedHashMap<>();
+                m.put(c.value == null ? "remove" : "write", c.key);
+                if (c.value != null) {
+                    m.put("value", c.value);
+                }
+                m.put("stamp", c.revision);
+                log.add(m);
+            }
+        }
+        if (log.isEmpty() && world.now < w.until) {
+            return false;
+        }
+        w.reply.answer(200, Map.of("ledger", revision, "log", log));
+        return true;
+    }
+
+    private void expire(Waiter w) {
+        if (waiters.contains(w)) {
+            if (away(w.host)) {
+                // Open watches stay open during an outage; the caller's patience ends first.
+                world.in(Tuning.WATCH_BLOCK_MS, () -> expire(w));
+            } else {
+                waiters.remove(w);
+                answer(w);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/test/java/org/shoreusher/model/UserModel.java
@@ -0,0 +1,118 @@
+package org.shoreusher.model;
+
+import java.util.LinkedHashMap;
+import java.util.Map;
+import org.shoreusher.core.Command;
+import org.shoreusher.core.Effect;
+import org.shoreusher.core.JobSpec;
+
+/** Users: they submit, poll and cancel at any node, and try again when they are refused or hear nothing. */
+final class UserModel {
+    /** A job as its user knows it. */
+    static final class Wish {
+        final JobSpec spec;
+        final boolean cancels;
+        final long runMs;
+        boolean accepted;
+        boolean cancelTold;
+        long cancelToldAt;
+        boolean cancelAsked;
+        boolean doneTold;
+
+        Wish(JobSpec spec, boolean cancels, long runMs) {
+            this.spec = spec;
+            this.cancels = cancels;
+            this.runMs = runMs;
+        }
+    }
+
+    private final World world;
+    final Map<String, Wish> wishes = new LinkedHashMap<>();
+
+    UserModel(World world) {
+        this.world = world;
+    }
+
+    long runMs(String job) {
+        Wish w = wishes.get(job);
+        return w == null ? 1_000 : w.runMs / 2 + world.random.nextInt((int) w.runMs);
+    }
+
+    /** One user's job, from its submission on. */
+    void submit(int number, long at) {
+        String id = String.format("wk-%06d", number);
+        var r = world.random;
+        boolean oneZone = r.nextInt(4) == 0;
+        JobSpec spec = new JobSpec(id, "class", "team-" + r.nextInt(2), JobSpec.Priority.values()[r.nextInt(4)], 1 + r.nextInt(12), 1 + r.nextInt(3),
+                0, 1, "img-" + r.nextInt(3), 1, null, r.nextInt(5) == 0 ? "a" : null, oneZone, !oneZone && r.nextInt(4) == 0, r.nextInt(3) > 0,
+                5, 0, 0, Double.NaN);
+        Wish w = new Wish(spec, r.nextInt(5) == 0, 2_000 + r.nextInt(12_000));
+        world.at(at, () -> {
+            wishes.put(id, w);
+            trySubmit(w);
+        });
+    }
+
+    private void ask(java.util.function.LongFunction<Command> command, java.util.function.Consumer<Effect.Answer> then, Runnable again) {
+        World.Process node = world.processes.get(world.random.nextInt(world.processes.size()));
+        boolean[] ended = {false};
+        world.in(5_000, () -> {
+            if (!ended[0]) {
+                ended[0] = true;
+                again.run();
+            }
+        });
+        world.send("user", node.host, () -> node.request(command, answer -> world.send(node.host, "user", () -> {
+            if (ended[0]) {
+                return;
+            }
+            ended[0] = true;
+            if (answer.status() == 503) {
+                if (answer.retryAfterS() <= 0) {
+                    world.rules.broken("refused", "without Retry-After");
+                }
+                world.in(1_000L * answer.retryAfterS(), again);
+            } else {
+                then.accept(answer);
+            }
+        })));
+    }
+
+    private void trySubmit(Wish w) {
+        ask(n -> new Command.Submit(n, w.spec.id(), w.spec, null), answer -> {
+            if (answer.status() != 200 && answer.status() != 201) {
+                world.rules.broken("forgotten", "submission of " + w.spec.id() + " got " + answer.status());
+            }
+            world.rules.told(w, answer);
+            w.accepted = true;
+            world.in(3_000, () -> poll(w));
+            if (w.cancels) {
+                world.in(world.random.nextInt(15_000), () -> cancel(w));
+            }
+        }, () -> trySubmit(w));
+    }
+
+    private void poll(Wish w) {
+        if (w.doneTold && world.random.nextInt(4) > 0) {
+            return;
+        }
+        ask(n -> new Command.Poll(n, w.spec.id()), answer -> {
+            world.rules.told(w, answer);
+            world.in(5_000, () -> poll(w));
+        }, () -> poll(w));
+    }
+
+    private void cancel(Wish w) {
+        w.cancelAsked = true;
+        ask(n -> new Command.Cancel(n, w.spec.id()), answer -> world.rules.told(w, answer), () -> cancel(w));
+    }
+
+    /** A question about a job that nobody submitted. */
+    void askUnknown() {
+        ask(n -> new Command.Poll(n, "wk-999999"), answer -> {
+            if (answer.status() != 404) {
+                world.rules.broken("invented", "got " + answer.status());
+            }
+        }, () -> { });
+    }
+}
--- /dev/null
+++ b/src/test/java/org/shoreusher/model/WorkerModel.java
@@ -0,0 +1,288 @@
+package org.shoreusher.model;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import org.shoreusher.core.Command;
+import org.shoreusher.core.Effect;
+import org.shoreusher.core.WorkerOrder;
+import org.shoreusher.core.WorkerReport;
+import org.shoreusher.core.WorkerReport.Cause;
+import org.shoreusher.core.WorkerReport.TaskReport;
+import org.shoreusher.core.WorkerReport.TaskState;
+import org.shoreusher.wire.WorkerFormat;
+
+/** A stand-in of a worker: sessions, leases, tokens, and answers dropped when they come late. */
+final class WorkerModel {
+    private static final long PATIENCE_MS = 4_000;
+    private static final long RESULT_KEPT = -1;
+
+    /** A task on this machine. */
+    private static final class Task {
+        final String job;
+        final int index;
+        final long attempt;
+        TaskState state = TaskState.FETCHING;
+        Cause cause = Cause.NONE;
+
+        Task(String job, int index, long attempt) {
+            this.job = job;
+            this.index = index;
+            this.attempt = attempt;
+        }
+    }
+
+    final String id;
+    final String zone;
+    final boolean spot;
+    final long rentedAt;
+    private final World world;
+    private final int number;
+    private final Map<String, Task> tasks = new LinkedHashMap<>();
+    private final Map<String, Long> results = new HashMap<>();
+    private boolean up;
+    private boolean gone;
+    private long hangingUntil;
+    private long session = 1;
+    private long seq;
+    private long token;
+    private long leaseFrom;
+    private int target;
+    private long flight;
+    private boolean inFlight;
+    private long nextReportAt;
+    private long lastReportAt = -1_000;
+
+    WorkerModel(World world, String id, String zone, boolean spot, int number) {
+        this.world = world;
+        this.id = id;
+        this.zone = zone;
+        this.spot = spot;
+        this.number = number;
+        this.rentedAt = world.now;
+    }
+
+    String address() {
+        return "10.1." + number / 250 + "." + (1 + number % 250) + ":9000";
+    }
+
+    boolean up() {
+        return up;
+    }
+
+    void boot() {
+        if (!gone) {
+            up = true;
+            leaseFrom = world.now;
+            target = world.random.nextInt(world.processes.size());
+            loop();
+        }
+    }
+
+    void destroy() {
+        gone = true;
+        tasks.keySet().forEach(k -> world.rules.off(this, k));
+        tasks.clear();
+    }
+
+    /** Executes nothing and says nothing for a while. */
+    void hang(long forMs) {
+        hangingUntil = world.now + forMs;
+    }
+
+    private void loop() {
+        if (gone) {
+            return;
+        }
+        // Also while it hangs: what a machine holds past its lease counts as gone.
+        lease();
+        if (world.now >= hangingUntil) {
+            if (!inFlight && world.now >= nextReportAt && world.now - lastReportAt >= 500) {
+                report();
+            }
+        }
+        world.in(50, this::loop);
+    }
+
+    private void lease() {
+        double extra = world.sabotage == World.Sabotage.WORKERS_OUTLIVE_LEASES ? 3 : 1;
+        if (world.now - leaseFrom > world.settings.workerLeaseS() * 1000 * extra) {
+            tasks.forEach((k, t) -> {
+                if (t.state != TaskState.EXITED) {
+                    world.rules.off(this, k);
+                }
+            });
+            tasks.clear();
+            session++;
+            leaseFrom = world.now;
+            change();
+        }
+    }
+
+    private void change() {
+        nextReportAt = 0;
+    }
+
+    private WorkerReport snapshot() {
+        List<TaskReport> list = new ArrayList<>();
+        tasks.values().forEach(t -> list.add(new TaskReport(t.job, t.index, t.attempt, t.state, t.cause)));
+        return new WorkerReport(id, address(), CloudModel.TYPE, zone, spot, session, ++seq, token, Double.NaN, list);
+    }
+
+    private void report() {
+        inFlight = true;
+        lastReportAt = world.now;
+        nextReportAt = world.now + (long) (world.settings.reportS() * 1000 * (0.75 + world.random.nextDouble() / 2));
+        long sentAt = world.now;
+        long ofSession = session;
+        long ofFlight = ++flight;
+        WorkerReport report = snapshot();
+        World.Process node = world.processes.get(target);
+        world.in(PATIENCE_MS, () -> {
+            if (flight == ofFlight && inFlight) {
+                inFlight = false;
+                next(1_000);
+            }
+        });
+        world.send(id, node.host, () -> {
+            if (!node.alive()) {
+                return;
+            }
+            node.request(n -> new Command.Report(n, report), answer -> world.send(node.host, id, () -> {
+                if (flight == ofFlight && inFlight && !gone) {
+                    long wait = Math.max(0, hangingUntil - world.now);
+                    world.in(wait, () -> answered(answer, sentAt, ofSession, ofFlight));
+                }
+            }));
+        });
+    }
+
+    private void answered(Effect.Answer answer, long sentAt, long ofSession, long ofFlight) {
+        if (flight != ofFlight || !inFlight || gone || world.now - sentAt > PATIENCE_MS) {
+            return;
+        }
+        lease();
+        inFlight = false;
+        if (answer.status() == 200) {
+            long baton = ((Number) answer.body().get("baton")).longValue();
+            if (ofSession == session && baton >= token) {
+                leaseFrom = Math.max(leaseFrom, sentAt);
+                if (baton > token) {
+                    token = baton;
+                    change();
+                }
+                orders(answer.body());
+            }
+        } else if (answer.status() == 421 && answer.body().get("foreman") instanceof String host) {
+            int named = Integer.parseInt(host.substring(host.indexOf('-') + 1));
+            if (named == target) {
+                next(1_000);
+            } else {
+                target = named;
+                nextReportAt = world.now + world.random.nextInt(500);
+                lastReportAt = 0;
+            }
+        } else {
+            next(1_000);
+        }
+    }
+
+    private void next(long pause) {
+        target = (target + 1) % world.processes.size();
+        nextReportAt = world.now + pause;
+    }
+
+    /** A direct command arrives, perhaps late. */
+    void direct(Effect.Orders o) {
+        if (gone || !up) {
+            return;
+        }
+        if (world.now < hangingUntil) {
+            world.at(hangingUntil, () -> direct(o));
+            return;
+        }
+        lease();
+        if (o.token() >= token && o.session() == session) {
+            token = o.token();
+            seq++;
+            orders(WorkerFormat.direct(o.token(), o.session(), o.orders()));
+        }
+    }
+
+    private void orders(Map<String, Object> body) {
+        for (Object o : (List<?>) body.get("orders")) {
+            Map<?, ?> m = (Map<?, ?>) o;
+            String name = (String) m.get("sheet");
+            long attempt = ((Number) m.get("try")).longValue();
+            Task t = tasks.get(name);
+            switch ((String) m.get("verb")) {
+                case "run" -> start(name, attempt, t);
+                case "halt" -> {
+                    if (t != null && t.attempt == attempt && t.state != TaskState.EXITED) {
+                        exit(name, t, Cause.STOPPED);
+                    }
+                }
+                default -> {
+                    if (t != null && t.attempt == attempt && t.state == TaskState.EXITED) {
+                        tasks.remove(name);
+                    }
+                }
+            }
+        }
+    }
+
+    private void start(String name, long attempt, Task present) {
+        if (present != null) {
+            if (present.attempt != attempt) {
+                throw new AssertionError("started " + name + " where it is already");
+            }
+            return;
+        }
+        Task t = new Task(name.substring(0, name.indexOf('/')), Integer.parseInt(name.substring(name.indexOf('/') + 1)), attempt);
+        tasks.put(name, t);
+        change();
+        world.in(200 + world.random.nextInt(800), () -> progress(name, t, () -> run(name, t)));
+    }
+
+    /** Goes on with a task, unless it is gone; not while the machine hangs. */
+    private void progress(String name, Task t, Runnable go) {
+        if (gone || tasks.get(name) != t || t.state == TaskState.EXITED) {
+            return;
+        }
+        if (world.now < hangingUntil) {
+            world.at(hangingUntil + 1, () -> progress(name, t, go));
+            return;
+        }
+        lease();
+        if (tasks.get(name) == t) {
+            go.run();
+        }
+    }
+
+    private void run(String name, Task t) {
+        t.state = TaskState.RUNNING;
+        world.rules.on(this, name);
+        change();
+        long duration = results.containsKey(name) ? 1 : world.users.runMs(t.job);
+        world.in(duration, () -> progress(name, t, () -> {
+            if (world.random.nextInt(60) == 0) {
+                exit(name, t, Cause.ERROR);
+            } else {
+                results.put(name, RESULT_KEPT);
+                world.rules.completed(name);
+                exit(name, t, Cause.DONE);
+            }
+        }));
+    }
+
+    private void exit(String name, Task t, Cause cause) {
+        if (t.state != TaskState.FETCHING) {
+            world.rules.off(this, name);
+        }
+        t.state = TaskState.EXITED;
+        t.cause = cause;
+        change();
+    }
+}
--- /dev/null
+++ b/src/test/java/org/shoreusher/model/World.java
@@ -0,0 +1,258 @@
+package org.shoreusher.model;
+
+import java.io.IOException;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.PriorityQueue;
+import java.util.Random;
+import java.util.function.Consumer;
+import org.shoreusher.core.Command;
+import org.shoreusher.core.Effect;
+import org.shoreusher.core.Node;
+import org.shoreusher.core.Reading;
+import org.shoreusher.settings.Settings;
+import org.shoreusher.settings.Tuning;
+import org.shoreusher.wire.Tree;
+
+/**
+ * A small deterministic world: several cores, a state service, a cloud, workers and users, joined by a
+ * network that delays, holds and loses messages. Time is counted, nothing sleeps, and one seed decides
+ * everything.
+ */
+final class World {
+    /** What a test takes away to see whether the checks notice. */
+    enum Sabotage {
+        NONE, GUARDS_IGNORED, WORKERS_OUTLIVE_LEASES, CLOCKS_FAR_OFF
+    }
+
+    /** Times at which troubles come, in ms, with what they do. */
+    record Trouble(long at, Consumer<World> what) {
+    }
+
+    private record Event(long at, long order, Runnable what) {
+    }
+
+    private final PriorityQueue<Event> events = new PriorityQueue<>(Comparator.comparingLong(Event::at).thenComparingLong(Event::order));
+    final Random random;
+    final Settings settings;
+    final Sabotage sabotage;
+    final StateModel state;
+    final CloudModel cloud;
+    final UserModel users;
+    final Rules rules;
+    final List<Process> processes = new ArrayList<>();
+    final List<String> log = new ArrayList<>();
+    /** Pairs of hosts that a cut separates, with its end. */
+    private final Map<String, Long> cuts = new HashMap<>();
+    private long orders;
+    long now;
+
+    World(long seed, Settings settings, Sabotage sabotage) {
+        random = new Random(seed);
+        this.settings = settings;
+        this.sabotage = sabotage;
+        state = new StateModel(this);
+        cloud = new CloudModel(this);
+        users = new UserModel(this);
+        rules = new Rules(this);
+        for (int i = 0; i < settings.nodes(); i++) {
+            processes.add(new Process("node-" + i, i));
+        }
+    }
+
+    void run(long untilMs, List<Trouble> troubles) {
+        troubles.forEach(t -> at(t.at(), () -> t.what().accept(this)));
+        processes.forEach(Process::start);
+        while (!events.isEmpty() && events.peek().at <= untilMs) {
+            Event e = events.poll();
+            now = e.at;
+            e.what.run();
+        }
+        now = untilMs;
+    }
+
+    void at(long time, Runnable what) {
+        events.add(new Event(Math.max(now, time), orders++, what));
+    }
+
+    void in(long delay, Runnable what) {
+        at(now + delay, what);
+    }
+
+    /** Cuts two hosts off from each other: what they send is held until the end. */
+    void cut(String a, String b, long forMs) {
+        cuts.put(pair(a, b), now + forMs);
+    }
+
+    private static String pair(String a, String b) {
+        return a.compareTo(b) < 0 ? a + "|" + b : b + "|" + a;
+    }
+
+    /** Delivers a message after some ms; held by a cut, it comes after it. One in 500 comes twice as late as a timeout. */
+    void send(String from, String to, Runnable arrive) {
+        long delay = 1 + random.nextInt(8);
+        if (random.nextInt(500) == 0) {
+            delay += 2_000 + random.nextInt(4_000);
+        }
+        long until = cuts.getOrDefault(pair(from, to), 0L);
+        at(Math.max(now, until) + delay, arrive);
+    }
+
+    static Map<String, Object> copy(Map<String, Object> value) {
+        try {
+            return value == null ? null : Tree.cbor(Tree.toCbor(value)).asMap();
+        } catch (IOException e) {
+            throw new AssertionError(e);
+        }
+    }
+
+    /** One controller: a core with clocks, killed and started again at will. */
+    final class Process {
+        final String host;
+        private final int index;
+        private final double drift;
+        private int life;
+        private Node node;
+        private final List<Command> queue = new ArrayList<>();
+        private final Map<Long, Consumer<Effect.Answer>> waiting = new HashMap<>();
+        private boolean woken;
+        private long nextRequest = 1;
+        private long pausedUntil;
+        private long wallOff;
+
+        Process(String host, int index) {
+            this.host = host;
+            this.index = index;
+            drift = random.nextDouble() * 0.0005;
+        }
+
+        void start() {
+            life++;
+            // Off by up to the bound and wandering inside it, or far beyond it if that is sabotaged.
+            long bound = sabotage == Sabotage.CLOCKS_FAR_OFF ? 9_000 : settings.clockOffMs();
+            wallOff = (long) ((random.nextDouble() * 2 - 1) * bound);
+            node = new Node(settings, host + "/" + Long.toHexString(random.nextLong()));
+            queue.clear();
+            waiting.clear();
+            tick(life);
+        }
+
+        void kill(long backAfterMs) {
+            life++;
+            node = null;
+            waiting.clear();
+            in(backAfterMs, this::start);
+        }
+
+        /** Gives it no processor for a while. */
+        void starve(long forMs) {
+            pausedUntil = now + forMs;
+        }
+
+        boolean alive() {
+            return node != null;
+        }
+
+        private void tick(int ofLife) {
+            if (life == ofLife) {
+                take(new Command.Tick());
+                in(Tuning.TICK_MS, () -> tick(ofLife));
+            }
+        }
+
+        void take(Command c) {
+            queue.add(c);
+            if (!woken) {
+                woken = true;
+                at(Math.max(now + 1, pausedUntil), this::work);
+            }
+        }
+
+        private void work() {
+            woken = false;
+            if (node == null) {
+                queue.clear();
+                return;
+            }
+            if (now < pausedUntil) {
+                woken = true;
+                at(pausedUntil, this::work);
+                return;
+            }
+            List<Command> batch = new ArrayList<>(queue);
+            queue.clear();
+            Reading reading = new Reading(1_000_000L * (index + 1) + (long) (now * (1 + drift)), 1_700_000_000_000L + now + wallOff);
+            for (Effect e : node.step(reading, batch)) {
+                carryOut(e);
+            }
+        }
+
+        /** A request comes in; the consumer gets the answer, unless the process dies first. */
+        void request(java.util.function.LongFunction<Command> command, Consumer<Effect.Answer> answer) {
+            if (node == null) {
+                return;
+            }
+            long id = nextRequest++;
+            waiting.put(id, answer);
+            take(command.apply(id));
+        }
+
+        private void carryOut(Effect effect) {
+            int ofLife = life;
+            if (effect instanceof Effect.Answer a) {
+                Consumer<Effect.Answer> to = waiting.remove(a.request());
+                if (to != null) {
+                    to.accept(a);
+                }
+            } else if (effect instanceof Effect.StateCall c) {
+                long timeout = Tuning.STATE_TIMEOUT_MS + (c.op() instanceof Effect.StateOp.Watch w ? w.blockMs() : 0);
+                call(ofLife, "state", timeout, (status, body) -> take(new Command.StateReply(c.call(), status, body)),
+                        reply -> state.handle(host, c.op(), reply));
+            } else if (effect instanceof Effect.CloudCall c) {
+                call(ofLife, "cloud", Tuning.CLOUD_TIMEOUT_MS, (status, body) -> take(new Command.CloudReply(c.call(), status, body)),
+                        reply -> cloud.handle(c.op(), reply));
+            } else if (effect instanceof Effect.Orders o) {
+                WorkerModel w = cloud.byAddress(o.address());
+                if (w != null) {
+                    send(host, w.id, () -> w.direct(o));
+                }
+            } else if (effect instanceof Effect.Tell t) {
+                for (Process p : processes) {
+                    if (p != this) {
+                        send(host, p.host, () -> p.take(new Command.PeerHint(t.hint())));
+                    }
+                }
+            } else if (effect instanceof Effect.Log l) {
+                log.add(now + " " + host + " " + l.line());
+            }
+        }
+
+        /** A call: it may be executed after its caller has given up, and the answer may be lost. */
+        private void call(int ofLife, String to, long timeout, Reply back, Consumer<Reply> execute) {
+            boolean[] ended = {false};
+            in(timeout, () -> {
+                if (!ended[0] && life == ofLife) {
+                    ended[0] = true;
+                    back.answer(0, null);
+                }
+            });
+            send(host, to, () -> execute.accept((status, body) -> {
+                Map<String, Object> copied = copy(body);
+                send(to, host, () -> {
+                    if (!ended[0] && life == ofLife) {
+                        ended[0] = true;
+                        back.answer(status, copied);
+                    }
+                });
+            }));
+        }
+    }
+
+    /** An answer to a call. */
+    interface Reply {
+        void answer(int status, Map<String, Object> body);
+    }
+}
