--- /dev/null
+++ b/src/test/java/org/shoreusher/core/PiecesTest.java
@@ -0,0 +1,172 @@
+package org.shoreusher.core;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.ArrayList;
+import java.util.BitSet;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Random;
+import java.util.Set;
+import net.jqwik.api.Example;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.constraints.IntRange;
+import net.jqwik.api.constraints.LongRange;
+import org.shoreusher.settings.Settings;
+import org.shoreusher.settings.Tuning;
+
+class PiecesTest {
+    private static final MachineType TYPE = new MachineType("t", 8, 2, 16, 10, 1, 1, 0.4, 10, List.of("a", "b"));
+
+    private static Settings settings(double clockOff, double workerLease, double cancel) {
+        Settings.Address nowhere = new Settings.Address("127.0.0.1", 1);
+        return new Settings("n", "a", nowhere, nowhere, List.of(), nowhere, nowhere, 3, List.of("a"), Map.of(), List.of(), 1, workerLease, cancel, 100,
+                100, 1024, 12, 5, 3, 1000, (long) clockOff);
+    }
+
+    private static JobSpec spec(String id, int tasks, double cpus, String zone, boolean one, boolean spread, boolean spot) {
+        return new JobSpec(id, "c", "team", JobSpec.Priority.NORMAL, tasks, cpus, 0, 1, "i", 1, null, zone, one, spread, spot, 10, 0, 0, Double.NaN);
+    }
+
+    @Property(tries = 300, seed = "7")
+    void rangesComeBack(@ForAll Set<@IntRange(max = 700) Integer> numbers) {
+        BitSet set = new BitSet();
+        numbers.forEach(set::set);
+        assertEquals(set, TaskRanges.parse(TaskRanges.format(set)));
+    }
+
+    /** Whatever is asked when, no second sees more than the burst and its rate. */
+    @Property(tries = 200, seed = "8")
+    void tokensNeverExceedTheRate(@ForAll @IntRange(min = 1, max = 50) int rate, @ForAll List<@IntRange(max = 400) Integer> pauses) {
+        TokenBucket bucket = new TokenBucket(rate, rate);
+        long now = 5;
+        List<Long> taken = new ArrayList<>();
+        for (int pause : pauses) {
+            now += pause;
+            for (int i = 0; i < 20; i++) {
+                if (bucket.take(1, now)) {
+                    taken.add(now);
+                }
+            }
+        }
+        for (long from : taken) {
+            long count = taken.stream().filter(t -> t >= from && t <= from + 1000).count();
+            assertTrue(count <= 2 * rate + 1, count + " at a rate of " + rate);
+        }
+    }
+
+    /** At no true moment may one node act for a part that another may already take. */
+    @Property(tries = 500, seed = "9")
+    void ownerStopsBeforeTakersMayStart(@ForAll @IntRange(max = 500) int off, @ForAll long seed) {
+        Random r = new Random(seed);
+        Settings s = settings(off, 10, 40);
+        PartLease lease = new PartLease(s);
+        long written = 1_000_000;
+        long ownerOff = r.nextInt(2 * off + 1) - off;
+        lease.confirmed(written + ownerOff + Tuning.LEASE_MS, new Reading(0, written + ownerOff));
+        for (long t = 0; t < Tuning.LEASE_MS + 4_000; t += 13) {
+            // The time of day wanders inside its bound; the steady clock may be up to 0.05% fast.
+            long ownerWall = written + t + r.nextInt(2 * off + 1) - off;
+            long takerWall = written + t + r.nextInt(2 * off + 1) - off;
+            boolean acts = lease.holds(new Reading((long) (t * 1.0005), ownerWall));
+            boolean taken = PartLease.free(s, written + ownerOff + Tuning.LEASE_MS, new Reading(0, takerWall));
+            assertFalse(acts && taken, "both at " + t);
+        }
+    }
+
+    /** A cancellation that the owner can't see comes true in time all the same. */
+    @Property(tries = 200, seed = "10")
+    void graceLeavesTimeForCancellations(@ForAll @IntRange(min = 2, max = 60) int workerLease, @ForAll @IntRange(min = 1, max = 120) int cancel,
+            @ForAll @IntRange(max = 500) int off) {
+        Settings s = settings(off, workerLease, cancel);
+        long grace = PartLease.graceMs(s);
+        assertTrue(grace >= 0);
+        assertTrue(grace == 0 || Tuning.LEASE_MS + grace + PartLease.workerLeaseMs(s) + 2 * off <= cancel * 1000L);
+    }
+
+    /** Plans exceed no machine and no team limit, and respect zones and kinds. */
+    @Property(tries = 400, seed = "11")
+    void plansKeepEveryBound(@ForAll @LongRange(min = 0) long seed) {
+        Random r = new Random(seed);
+        List<Planner.Slot> slots = new ArrayList<>();
+        for (int i = 0; i < 1 + r.nextInt(6); i++) {
+            Machine m = new Machine("m" + i, TYPE, r.nextBoolean() ? "a" : "b", r.nextBoolean(), 0, 0);
+            m.cpusUsed = r.nextInt(9);
+            slots.add(new Planner.Slot(m));
+        }
+        double limit = r.nextInt(40);
+        Planner planner = new Planner(slots, team -> limit, team -> 0);
+        List<Job> jobs = new ArrayList<>();
+        for (int i = 0; i < 1 + r.nextInt(4); i++) {
+            boolean one = r.nextInt(3) == 0;
+            Job job = new Job("j" + i, spec("wk-" + i, 1 + r.nextInt(9), 1 + r.nextInt(4), r.nextInt(4) == 0 ? "a" : null, one, !one && r.nextBoolean(), r.nextBoolean()), 0);
+            jobs.add(job);
+            planner.place(job, job.spec.tasks());
+        }
+        double used = 0;
+        Map<Machine, Double> on = new HashMap<>();
+        for (Job job : jobs) {
+            Map<String, Integer> zones = new HashMap<>();
+            int count = 0;
+            for (Planner.Placed p : planner.placed()) {
+                if (p.job() == job) {
+                    assertTrue(job.spec.allows("t", p.slot().zone, p.slot().spot));
+                    zones.merge(p.slot().zone, p.count(), Integer::sum);
+                    on.merge(p.slot().machine, p.count() * job.spec.cpus(), Double::sum);
+                    used += p.count() * job.spec.cpus();
+                    count += p.count();
+                }
+            }
+            assertTrue(count <= job.spec.tasks());
+            assertTrue(!job.spec.oneZone() || zones.size() <= 1);
+            int half = (job.spec.tasks() + 1) / 2;
+            assertTrue(!job.spec.spread() || zones.values().stream().allMatch(n -> n <= half));
+        }
+        assertTrue(used <= limit);
+        on.forEach((m, cpus) -> assertTrue(cpus <= m.cpusFree()));
+    }
+
+    @Example
+    void placesOnTheFullestMachineThatFits() {
+        Machine empty = new Machine("m-empty", TYPE, "a", true, 0, 0);
+        Machine half = new Machine("m-half", TYPE, "a", true, 0, 0);
+        Machine full = new Machine("m-full", TYPE, "a", true, 0, 0);
+        half.cpusUsed = 4;
+        full.cpusUsed = 7;
+        Planner planner = new Planner(new ArrayList<>(List.of(new Planner.Slot(empty), new Planner.Slot(half), new Planner.Slot(full))), t -> 100, t -> 0);
+        planner.place(new Job("wk-1", spec("wk-1", 3, 2, null, false, false, true), 0), 3);
+        assertEquals(List.of("m-half", "m-empty"), planner.placed().stream().map(p -> p.slot().machine.id).toList());
+        assertEquals(2, planner.placed().get(0).count());
+    }
+
+    /** Records stay below the value limit whatever is finished, and lose nothing that they call durable. */
+    @Property(tries = 150, seed = "12")
+    void finishedRecordsFitAndAreTrue(@ForAll @LongRange(min = 0) long seed) {
+        Random r = new Random(seed);
+        List<Job> jobs = new ArrayList<>();
+        for (int i = 0; i < 1 + r.nextInt(12); i++) {
+            Job job = new Job("wk-00000" + i, spec("wk-00000" + i, 1 + r.nextInt(1500), 1, null, false, false, true), 0);
+            for (int t = 0; t < job.spec.tasks(); t++) {
+                job.done.set(t, r.nextInt(3) > 0);
+            }
+            jobs.add(job);
+        }
+        FinishedRecords records = FinishedRecords.of(jobs, settings(0, 10, 40), true);
+        records.markDurable(c -> true);
+        Map<String, BitSet> stored = new HashMap<>();
+        for (int c = 0; c < records.chunks(); c++) {
+            assertTrue(org.shoreusher.wire.Tree.toCbor(records.chunk(c)).length <= 1024);
+            records.chunk(c).forEach((id, text) -> assertEquals(null, stored.put(id, TaskRanges.parse((String) text))));
+        }
+        for (Job job : jobs) {
+            assertEquals(job.durable, stored.getOrDefault(job.id, new BitSet()));
+            BitSet beyond = (BitSet) job.durable.clone();
+            beyond.andNot(job.done);
+            assertTrue(beyond.isEmpty());
+        }
+    }
+}
--- /dev/null
+++ b/src/test/java/org/shoreusher/peer/HintCodecTest.java
@@ -0,0 +1,29 @@
+package org.shoreusher.peer;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.Map;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.constraints.IntRange;
+import net.jqwik.api.constraints.Size;
+import org.shoreusher.core.Hint;
+
+class HintCodecTest {
+    private final HintCodec codec = new HintCodec();
+
+    @Property(tries = 200, seed = "5")
+    void hintsComeBack(@ForAll String from, @ForAll boolean ok, @ForAll @Size(max = 5) Map<@IntRange(max = 100) Integer, Double> room,
+            @ForAll @Size(max = 5) Map<String, @IntRange(max = 100_000) Integer> counts) {
+        Hint hint = new Hint(from, ok, room, counts, Map.of());
+        assertEquals(hint, codec.read(codec.write(hint)));
+    }
+
+    /** Bytes from elsewhere are a hint or null, and cost no memory beyond their own size. */
+    @Property(tries = 500, seed = "6")
+    void otherBytesAreRefused(@ForAll byte[] bytes) {
+        Hint hint = codec.read(bytes);
+        assertTrue(hint == null || hint.from() != null);
+    }
+}
--- /dev/null
+++ b/src/test/java/org/shoreusher/settings/SettingsTest.java
@@ -0,0 +1,42 @@
+package org.shoreusher.settings;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.nio.charset.StandardCharsets;
+import net.jqwik.api.Example;
+
+class SettingsTest {
+    private static final String GOOD = """
+            {"host_name":"n-0","zone":"a","front":"127.0.0.1:8080","back":"127.0.0.1:8081","new":{"x":1},
+             "members":[{"host_name":"n-1","zone":"b","peer_addr":"127.0.0.2:8081"}],
+             "endpoints":{"cloud":"127.0.0.3:1","state":"127.0.0.3:2"},
+             "deployment":{"count":2,"zones":["a","b"],"teams":[{"name":"t","cpus":1.0,"cpus_max":2,"gpus":0.0,"gpus_max":0.0}],
+              "objectives":[{"kind":"guarantee","within_s":15.0,"share":0.8}],
+              "workers":{"report_s":2.5,"lease_s":16.0,"cancel_s":36.0},"state":{"rps":200.0,"write_rps":25.0,"value_kb":8.0,"txn_ops":20},
+              "cloud":{"rps":5.0,"list_lag_s":5.0},"limits":{"cpu_share":0.17,"ram_mb":176.0,"sockets":1500},"clock_off_ms":25.0}}""";
+
+    private static Settings parse(String text) throws Settings.Invalid {
+        return Settings.parse(text.getBytes(StandardCharsets.UTF_8));
+    }
+
+    @Example
+    void readsWhatThePlatformHandsOver() throws Settings.Invalid {
+        Settings s = parse(GOOD);
+        assertEquals(new Settings.Address("127.0.0.2", 8081), s.members().get(0).address());
+        assertEquals(8192, s.valueBytes());
+        assertEquals(2, s.teams().get("t").cpusMax());
+    }
+
+    @Example
+    void saysWhatIsWrong() {
+        String[][] cases = {{"\"zone\":\"a\",", "\"zone\":1,", "zone"}, {"127.0.0.1:8080", "here", "front"}, {"\"lease_s\":16.0", "\"lease_s\":1.0", "lease_s"},
+            {"\"txn_ops\":20", "\"txn_ops\":2", "txn_ops"}, {"{\"host_name\":\"n-0\"", "{\"host_name\":", "JSON"}, {"\"clock_off_ms\":25.0", "\"clock_off_ms\":5000", "clock_off_ms"},
+            {"\"rps\":200.0", "\"rps\":0", "rates"}};
+        for (String[] c : cases) {
+            Settings.Invalid e = assertThrows(Settings.Invalid.class, () -> parse(GOOD.replace(c[0], c[1])));
+            assertTrue(e.getMessage().contains(c[2]), e.getMessage());
+        }
+    }
+}
--- /dev/null
+++ b/src/test/java/org/shoreusher/wire/FormatsTest.java
@@ -0,0 +1,108 @@
+package org.shoreusher.wire;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.IOException;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import net.jqwik.api.Arbitraries;
+import net.jqwik.api.Arbitrary;
+import net.jqwik.api.Combinators;
+import net.jqwik.api.Example;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.Provide;
+import org.shoreusher.core.JobSpec;
+import org.shoreusher.core.WorkerOrder;
+import org.shoreusher.core.WorkerReport;
+
+class FormatsTest {
+    @Provide
+    Arbitrary<Map<String, Object>> maps() {
+        Arbitrary<Object> leaf = Arbitraries.oneOf(Arbitraries.longs().map(x -> x), Arbitraries.doubles().map(x -> x),
+                Arbitraries.strings().ofMaxLength(20).map(x -> x), Arbitraries.of(true, false).map(x -> x), Arbitraries.just(null));
+        Arbitrary<Object> inner = Arbitraries.oneOf(leaf, leaf.list().ofMaxSize(4).map(x -> x),
+                Arbitraries.maps(Arbitraries.strings().ofMaxLength(8), leaf).ofMaxSize(4).map(x -> x));
+        return Arbitraries.maps(Arbitraries.strings().ofMaxLength(8), inner).ofMaxSize(6);
+    }
+
+    @Property(tries = 300, seed = "1")
+    void cborKeepsEveryMap(@ForAll("maps") Map<String, Object> map) throws IOException {
+        assertEquals(map, Tree.cbor(Tree.toCbor(map)).asMap());
+    }
+
+    /** Whatever the bytes, reading ends in a map or in the one exception that means 400. */
+    @Property(tries = 500, seed = "2")
+    void anyBytesAreAMapOrRefused(@ForAll byte[] bytes) {
+        try {
+            Tree.cbor(bytes).asMap();
+        } catch (IOException e) {
+            assertTrue(bytes.length >= 0);
+        }
+    }
+
+    /** A message with one byte changed is read or refused, too, and never brings the reader down. */
+    @Property(tries = 500, seed = "3")
+    void aSpoiledJobIsReadOrRefused(@ForAll("jobs") JobSpec job, @ForAll int at, @ForAll byte value) {
+        byte[] bytes = Tree.toCbor(UserFormat.map(job));
+        bytes[Math.floorMod(at, bytes.length)] = value;
+        try {
+            assertTrue(UserFormat.isId(UserFormat.job(Tree.cbor(bytes)).id()));
+        } catch (IOException | Tree.Missing e) {
+            assertTrue(e.getMessage() != null);
+        }
+    }
+
+    @Provide
+    Arbitrary<JobSpec> jobs() {
+        Arbitrary<Double> amount = Arbitraries.doubles().between(0, 1000);
+        return Combinators.combine(Arbitraries.integers().between(1, 999_999), Arbitraries.integers().between(1, 100_000), amount,
+                Arbitraries.of(JobSpec.Priority.values()), Arbitraries.of("a", "b").list().ofMaxSize(2).injectNull(0.5),
+                Arbitraries.of("a", "b").injectNull(0.5), Arbitraries.of(true, false), amount.injectNull(0.5).map(d -> d == null ? Double.NaN : d))
+                .as((id, tasks, a, priority, types, zone, flag, deadline) -> new JobSpec("wk-" + id, "class", "team", priority, tasks, a, a / 2, a / 3,
+                        "image", a, types, zone, flag, !flag, flag, a, a, a, deadline));
+    }
+
+    @Property(tries = 300, seed = "4")
+    void jobsComeBackFromTheWire(@ForAll("jobs") JobSpec job) throws IOException, Tree.Missing {
+        assertEquals(job, UserFormat.job(Tree.cbor(Tree.toCbor(UserFormat.map(job)))));
+    }
+
+    @Example
+    void wrongFieldsAreNamed() {
+        JobSpec job = jobs().sample();
+        Map<String, Object> wrong = Map.of("sheets", 0L, "cpus", "many", "shape", "gang", "urgency", "whenever", "name_id", "wk-", "loaners", 1L, "due_s", -1.0);
+        wrong.forEach((field, value) -> {
+            Map<String, Object> map = new LinkedHashMap<>(UserFormat.map(job));
+            map.put(field, value);
+            Tree.Missing e = assertThrows(Tree.Missing.class, () -> UserFormat.job(new Tree(map)));
+            assertTrue(e.getMessage().contains(field), e.getMessage());
+        });
+    }
+
+    @Example
+    void readsAReportWithFieldsItDoesNotKnow() throws Tree.Missing {
+        Map<String, Object> report = new LinkedHashMap<>(Map.of("box", "host-1", "addr", "10.0.0.1:9", "press", "t", "yard", "a", "loaners", true,
+                "shift", 2L, "tally", 9L, "baton", 4L, "new_field", List.of(1L)));
+        report.put("warning_s", null);
+        report.put("sheets", List.of(Map.of("sheet", "wk-000412/3", "try", 7L, "status", "exited", "cause", "halted", "stored", true),
+                Map.of("sheet", "wk-000412/4", "try", 8L, "status", "flushing")));
+        WorkerReport r = WorkerFormat.report(new Tree(report));
+        assertTrue(Double.isNaN(r.noticeS()));
+        assertEquals(List.of(new WorkerReport.TaskReport("wk-000412", 3, 7, WorkerReport.TaskState.EXITED, WorkerReport.Cause.STOPPED),
+                new WorkerReport.TaskReport("wk-000412", 4, 8, WorkerReport.TaskState.SAVING, WorkerReport.Cause.NONE)), r.tasks());
+    }
+
+    @Example
+    void writesOrdersAsWorkersReadThem() {
+        List<WorkerOrder> orders = new ArrayList<>(List.of(new WorkerOrder(WorkerOrder.Kind.START, "wk-1", 4, 2, 0),
+                new WorkerOrder(WorkerOrder.Kind.STOP, "wk-2", 1, 1, 10), new WorkerOrder(WorkerOrder.Kind.FORGET, "wk-3", 0, 1, 0)));
+        assertEquals(Map.of("baton", 41L, "shift", 1L, "orders", List.of(Map.of("verb", "run", "sheet", "wk-1/4", "try", 2L),
+                Map.of("verb", "halt", "sheet", "wk-2/1", "try", 1L, "wind_down_s", 10.0), Map.of("verb", "forget", "sheet", "wk-3/0", "try", 1L))),
+                WorkerFormat.direct(41, 1, orders));
+    }
+}
