Start-up: class archive, Commons CLI for picocli, first watch does not block

Cause: half a core-second of class loading at 13.6% of a core, and a first watch that blocked 2 s before the view counted as complete. picocli is compiled for Java 5 and can't be archived; Commons CLI, its nearest kin, can. Ruled out: picocli with the archive, 0.25 s to its first line against 0.10 s.

--- a/src/main/java/org/shoreusher/cli/Main.java
+++ b/src/main/java/org/shoreusher/cli/Main.java
@@ -1,41 +1,81 @@
 package org.shoreusher.cli;
 
+import java.io.PrintWriter;
+import java.nio.charset.StandardCharsets;
 import java.nio.file.Path;
 import java.security.SecureRandom;
 import java.util.HexFormat;
 import java.util.Locale;
-import java.util.concurrent.Callable;
+import org.apache.commons.cli.CommandLine;
+import org.apache.commons.cli.DefaultParser;
+import org.apache.commons.cli.HelpFormatter;
+import org.apache.commons.cli.Option;
+import org.apache.commons.cli.Options;
+import org.apache.commons.cli.ParseException;
 import org.shoreusher.settings.Settings;
-import picocli.CommandLine;
-import picocli.CommandLine.Command;
-import picocli.CommandLine.Option;
 
-/** The program: reads flags and settings, then runs the service. */
-@Command(name = "shoreusher", mixinStandardHelpOptions = true, versionProvider = Main.Version.class,
-        description = "Runs one controller of the shoreusher cluster scheduler.",
-        footer = {"", "LOG_LEVEL=error|info|debug sets how much is logged to standard error (info)."})
-public final class Main implements Callable<Integer> {
-    @Option(names = "--config", required = true, paramLabel = "FILE", description = "The settings file (JSON) that the platform hands over.")
-    private Path config;
+/**
+ * The program: reads flags and settings, then runs the service. Flags are read by Commons CLI, picocli's
+ * nearest kin: picocli is compiled for Java 5, whose classes the class archive can't hold, and reading it
+ * from its jar took a third of the start-up of a small machine.
+ */
+public final class Main {
+    private static final int USAGE = 2;
+    private static final int UNUSABLE = 1;
 
-    @Option(names = "--check", description = "Check the settings file and exit.")
-    private boolean check;
-
-    /** Tells the version of the build. */
-    static final class Version implements CommandLine.IVersionProvider {
-        @Override
-        public String[] getVersion() {
-            String v = Main.class.getPackage().getImplementationVersion();
-            return new String[] {"shoreusher " + (v == null ? "(not packaged)" : v)};
-        }
+    private Main() {
     }
 
     public static void main(String[] args) {
+        System.exit(run(args));
+    }
+
+    private static Options options() {
+        Options options = new Options();
+        options.addOption(Option.builder().longOpt("config").hasArg().argName("FILE").desc("The settings file (JSON) that the platform hands over.").build());
+        options.addOption(Option.builder().longOpt("check").desc("Check the settings file and exit.").build());
+        options.addOption(Option.builder("h").longOpt("help").desc("Show this help and exit.").build());
+        options.addOption(Option.builder("V").longOpt("version").desc("Print the version and exit.").build());
+        return options;
+    }
+
+    private static int run(String[] args) {
+        CommandLine line;
+        try {
+            line = new DefaultParser().parse(options(), args);
+        } catch (ParseException e) {
+            return complain(e.getMessage() + "; see --help", USAGE);
+        }
+        if (line.hasOption("help")) {
+            help();
+            return 0;
+        }
+        if (line.hasOption("version")) {
+            String version = Main.class.getPackage().getImplementationVersion();
+            System.out.println("shoreusher " + (version == null ? "(not packaged)" : version));
+            return 0;
+        }
+        if (!line.getArgList().isEmpty() || !line.hasOption("config")) {
+            return complain(line.getArgList().isEmpty() ? "--config FILE is missing; see --help" : "unexpected: " + line.getArgList().get(0) + "; see --help", USAGE);
+        }
         String level = System.getenv().getOrDefault("LOG_LEVEL", "info").toLowerCase(Locale.ROOT);
         if (!level.equals("error") && !level.equals("info") && !level.equals("debug")) {
-            System.err.println("shoreusher: LOG_LEVEL must be error, info or debug, not '" + level + "'");
-            System.exit(CommandLine.ExitCode.USAGE);
+            return complain("LOG_LEVEL must be error, info or debug, not '" + level + "'", USAGE);
+        }
+        Settings settings;
+        try {
+            settings = Settings.load(Path.of(line.getOptionValue("config")));
+        } catch (Settings.Invalid e) {
+            return complain(e.getMessage(), UNUSABLE);
+        }
+        if (line.hasOption("check")) {
+            System.out.println("settings are valid: " + settings.host() + " in " + settings.zone());
+            return 0;
         }
+        return serve(settings, level);
+    }
+
+    private static int serve(Settings settings, String level) {
         System.setProperty("org.slf4j.simpleLogger.log.shoreusher", level);
         System.setProperty("org.slf4j.simpleLogger.defaultLogLevel", "error");
         System.setProperty("org.slf4j.simpleLogger.showThreadName", "false");
@@ -44,26 +84,28 @@
         System.setProperty("io.netty.allocator.numDirectArenas", "1");
         System.setProperty("io.netty.allocator.maxOrder", "3");
         System.setProperty("io.netty.leakDetection.level", "disabled");
-        int code = new CommandLine(new Main()).execute(args);
-        System.exit(code);
-    }
-
-    @Override
-    public Integer call() throws InterruptedException {
-        Settings settings;
-        try {
-            settings = Settings.load(config);
-        } catch (Settings.Invalid e) {
-            System.err.println("shoreusher: " + e.getMessage());
-            return CommandLine.ExitCode.SOFTWARE;
-        }
-        if (check) {
-            System.out.println("settings are valid: " + settings.host() + " in " + settings.zone());
-            return CommandLine.ExitCode.OK;
-        }
         byte[] suffix = new byte[6];
         new SecureRandom().nextBytes(suffix);
-        new Service(settings, settings.host() + "/" + HexFormat.of().formatHex(suffix)).run();
-        return CommandLine.ExitCode.OK;
+        try {
+            new Service(settings, settings.host() + "/" + HexFormat.of().formatHex(suffix)).run();
+        } catch (InterruptedException e) {
+            return complain("interrupted", UNUSABLE);
+        } catch (RuntimeException e) {
+            return complain("cannot serve on " + settings.front() + " and " + settings.back() + ": " + e, UNUSABLE);
+        }
+        return 0;
+    }
+
+    private static void help() {
+        PrintWriter out = new PrintWriter(System.out, true, StandardCharsets.UTF_8);
+        HelpFormatter formatter = new HelpFormatter();
+        formatter.printHelp(out, HelpFormatter.DEFAULT_WIDTH, "shoreusher --config FILE [--check]", "Runs one controller of the shoreusher cluster scheduler.",
+                options(), HelpFormatter.DEFAULT_LEFT_PAD, HelpFormatter.DEFAULT_DESC_PAD, "LOG_LEVEL=error|info|debug sets how much is logged to standard error (info).");
+        out.flush();
+    }
+
+    private static int complain(String message, int code) {
+        System.err.println("shoreusher: " + message);
+        return code;
     }
 }
--- a/src/main/java/org/shoreusher/core/Fleet.java
+++ b/src/main/java/org/shoreusher/core/Fleet.java
@@ -286,8 +286,12 @@
             Machine m = part.machines().get(l.id());
             if (m != null && l.state().equals("failed")) {
                 part.stopped(m);
-            } else if (m == null && part.strayHere(l.id())) {
+            }
+            if (m == null && part.strayHere(l.id())) {
                 stray(l);
+            } else {
+                // Else a machine returned later, which a lagging list still shows, would count as seen before.
+                strays.removeLong(l.id());
             }
         }
         strays.keySet().retainAll(names);
--- a/src/main/java/org/shoreusher/core/Mirror.java
+++ b/src/main/java/org/shoreusher/core/Mirror.java
@@ -112,7 +112,7 @@
             return;
         }
         long sentAt = out.now.steadyMs();
-        StateOp op = loading ? new StateOp.Page(page) : new StateOp.Watch(revision, Tuning.WATCH_BLOCK_MS);
+        StateOp op = loading ? new StateOp.Page(page) : new StateOp.Watch(revision, loaded && revision >= needRevision ? Tuning.WATCH_BLOCK_MS : 0);
         busy = out.state(op, reply -> {
             busy = false;
             try {
