--- a/src/main/java/org/shoreusher/cli/Service.java
+++ b/src/main/java/org/shoreusher/cli/Service.java
@@ -110,7 +110,11 @@
         } else if (effect instanceof Effect.Tell e) {
             peers.tell(e.hint());
         } else if (effect instanceof Effect.Log e) {
-            LOG.info(e.line());
+            if (e.detail()) {
+                LOG.debug(e.line());
+            } else {
+                LOG.info(e.line());
+            }
         }
     }
 }
--- a/src/main/java/org/shoreusher/core/Effect.java
+++ b/src/main/java/org/shoreusher/core/Effect.java
@@ -26,8 +26,8 @@
     record Tell(Hint hint) implements Effect {
     }
 
-    /** One line for the operator. */
-    record Log(String line) implements Effect {
+    /** One line for the operator; {@code detail}: only at the debug level. */
+    record Log(String line, boolean detail) implements Effect {
     }
 
     /** Calls of the state service. */
--- a/src/main/java/org/shoreusher/core/Outbox.java
+++ b/src/main/java/org/shoreusher/core/Outbox.java
@@ -53,7 +53,11 @@
     }
 
     void log(String line) {
-        effects.add(new Effect.Log(line));
+        effects.add(new Effect.Log(line, false));
+    }
+
+    void detail(String line) {
+        effects.add(new Effect.Log(line, true));
     }
 
     void answer(long request, int status, Map<String, Object> body) {
--- a/src/main/java/org/shoreusher/core/Part.java
+++ b/src/main/java/org/shoreusher/core/Part.java
@@ -1,6 +1,7 @@
 package org.shoreusher.core;
 
 import it.unimi.dsi.fastutil.objects.Object2DoubleOpenHashMap;
+import it.unimi.dsi.fastutil.objects.Object2IntOpenHashMap;
 import it.unimi.dsi.fastutil.objects.Object2ObjectLinkedOpenHashMap;
 import it.unimi.dsi.fastutil.objects.Object2ObjectOpenHashMap;
 import it.unimi.dsi.fastutil.objects.ObjectOpenHashSet;
@@ -60,6 +61,7 @@
     private long nextRenewMs;
     private boolean loaded;
     private boolean rebuilt;
+    private long nextStatusMs;
 
     /**
      * @param writtenAt when the takeover was sent
@@ -158,6 +160,25 @@
         writeMachineRecords();
         finishJobs();
         fleet.step();
+        if (out.now.steadyMs() >= nextStatusMs) {
+            nextStatusMs = out.now.steadyMs() + Tuning.STATUS_LINE_MS;
+            out.detail(status());
+        }
+    }
+
+    private String status() {
+        int[] states = new int[Machine.State.values().length];
+        double used = 0;
+        double all = 0;
+        for (Machine m : machines.values()) {
+            states[m.state.ordinal()]++;
+            used += m.cpusUsed;
+            all += m.state == Machine.State.UP ? m.type.cpus() : 0;
+        }
+        Object2IntOpenHashMap<String> waiting = new Object2IntOpenHashMap<>();
+        jobs.values().forEach(j -> waiting.addTo(j.spec.jobClass(), j.waitingCount));
+        return "status: part " + n + " term " + term + ", machines " + states[0] + " booting " + states[1] + " up " + (states[2] + states[3]) + " leaving, CPUs "
+                + used + " of " + all + ", " + jobs.size() + " jobs, waiting " + waiting;
     }
 
     private void heartbeat() {
--- a/src/main/java/org/shoreusher/settings/Tuning.java
+++ b/src/main/java/org/shoreusher/settings/Tuning.java
@@ -129,6 +129,8 @@
     public static final int BATCH = 64;
     /** s; how often the line on users' waiting is logged, at debug. */
     public static final int LATENCY_LINE_S = 60;
+    /** ms; how often an owner logs where its part stands, at debug. */
+    public static final long STATUS_LINE_MS = 10_000;
     /** ms; the core's tick. */
     public static final long TICK_MS = 50;
     /** ms; how often peers are told hints. */
