--- a/src/main/java/org/shoreusher/core/Fleet.java
+++ b/src/main/java/org/shoreusher/core/Fleet.java
@@ -113,7 +113,7 @@
 
     /** How many tasks of a job should run at once, so that its work takes about the horizon. */
     private int wantedAtOnce(Job job) {
-        double run = Math.max(1, job.spec.estimateS());
+        double run = part.estimates().runS(job);
         double horizon = Tuning.RENT_HORIZON_S;
         double slack = job.slackS(out.now.wallMs());
         if (slack < Double.MAX_VALUE) {
--- a/src/main/java/org/shoreusher/core/Job.java
+++ b/src/main/java/org/shoreusher/core/Job.java
@@ -24,6 +24,10 @@
     /** Final in the store, or taken away: nothing of it may start. */
     boolean closed;
     boolean finishing;
+    /** Tasks that have been started at least once, as far as this owner knows. */
+    int startedCount;
+    private int observedCount;
+    private double observedSumS;
     private int failures;
     private long pausedUntilMs = Long.MIN_VALUE;
 
@@ -40,6 +44,19 @@
         }
     }
 
+    void observe(double seconds) {
+        observedCount++;
+        observedSumS += seconds;
+    }
+
+    int observedCount() {
+        return observedCount;
+    }
+
+    double observedMeanS() {
+        return observedSumS / observedCount;
+    }
+
     boolean complete() {
         return done.cardinality() >= spec.tasks();
     }
--- a/src/main/java/org/shoreusher/core/Part.java
+++ b/src/main/java/org/shoreusher/core/Part.java
@@ -7,7 +7,6 @@
 import it.unimi.dsi.fastutil.objects.ObjectOpenHashSet;
 import java.util.ArrayList;
 import java.util.BitSet;
-import java.util.Comparator;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
@@ -45,6 +44,8 @@
     private final long takenAtMs;
     private final long takenRevision;
     private final Fleet fleet;
+    private final Estimates estimates = new Estimates();
+    private final Urgency urgency;
     private final Object2ObjectLinkedOpenHashMap<String, Job> jobs = new Object2ObjectLinkedOpenHashMap<>();
     private final Object2ObjectOpenHashMap<String, Machine> machines = new Object2ObjectOpenHashMap<>();
     private final Object2DoubleOpenHashMap<String> teamCpus = new Object2DoubleOpenHashMap<>();
@@ -82,6 +83,7 @@
         this.lease = new PartLease(settings);
         this.lease.confirmed(record.expiryMs(), writtenAt);
         this.nextRenewMs = writtenAt.steadyMs() + Tuning.HEARTBEAT_MS;
+        this.urgency = new Urgency(settings, estimates);
         this.fleet = new Fleet(this, settings, out, types);
     }
 
@@ -99,6 +101,10 @@
         return term;
     }
 
+    Estimates estimates() {
+        return estimates;
+    }
+
     Map<String, Job> jobs() {
         return jobs;
     }
@@ -595,6 +601,9 @@
         Job job = jobs.get(t.job());
         if (t.cause() == Cause.DONE) {
             m.failedJobs.clear();
+            if (ours && job != null && live.runningSinceMs >= 0) {
+                estimates.observed(job, (out.now.steadyMs() - live.runningSinceMs) / 1000.0);
+            }
             if (job != null && t.index() >= 0 && t.index() < job.spec.tasks() && !job.done.get(t.index())) {
                 job.done.set(t.index());
                 job.setWaiting(t.index(), false);
@@ -699,6 +708,7 @@
                     index = p.job().waiting.nextSetBit(index + 1);
                     Live live = new Live(p.job(), index, term << Tuning.ATTEMPT_BITS | nextAttempt++, m, Live.State.ASKED, out.now.steadyMs());
                     add(live, true);
+                    p.job().startedCount++;
                     orders.add(new WorkerOrder(WorkerOrder.Kind.START, p.job().id, index, live.attempt, 0));
                 }
             }
@@ -713,17 +723,10 @@
                 list.add(job);
             }
         }
-        list.sort(Comparator.comparing((Job j) -> j.spec.priority())
-                .thenComparing(j -> teamCpus.getDouble(j.spec.team()) >= guarantee(j.spec.team()))
-                .thenComparingLong(j -> j.acceptedMs).thenComparing(j -> j.id));
+        urgency.sort(list, out.now.wallMs());
         return list;
     }
 
-    private double guarantee(String team) {
-        Settings.Team t = settings.teams().get(team);
-        return t == null ? 0 : t.cpus();
-    }
-
     private static WorkerOrder stop(Live live, double graceS) {
         return new WorkerOrder(WorkerOrder.Kind.STOP, live.job.id, live.index, live.attempt, graceS);
     }
--- /dev/null
+++ b/src/main/java/org/shoreusher/core/Urgency.java
@@ -0,0 +1,86 @@
+package org.shoreusher.core;
+
+import java.util.Comparator;
+import java.util.List;
+import org.shoreusher.settings.Settings;
+import org.shoreusher.settings.Tuning;
+
+/**
+ * In which order jobs get machines. High priorities come first. Within a priority, jobs that can still
+ * meet one of the users' aims come before those that can't, and the one whose last chance to start is
+ * nearest comes first.
+ */
+final class Urgency {
+    /** Where a job stands at one moment; computed once per job and plan. */
+    private record Rank(Job job, int band, int lateness, double slackS) {
+    }
+
+    private final Settings settings;
+    private final Estimates estimates;
+
+    Urgency(Settings settings, Estimates estimates) {
+        this.settings = settings;
+        this.estimates = estimates;
+    }
+
+    /** Sorts the jobs, most pressing first. */
+    void sort(List<Job> jobs, long wallMs) {
+        List<Rank> ranks = new java.util.ArrayList<>(jobs.size());
+        for (Job job : jobs) {
+            ranks.add(rank(job, wallMs));
+        }
+        ranks.sort(Comparator.comparingInt(Rank::band).thenComparingInt(Rank::lateness).thenComparingDouble(Rank::slackS)
+                .thenComparing(r -> r.job().id));
+        for (int i = 0; i < ranks.size(); i++) {
+            jobs.set(i, ranks.get(i).job());
+        }
+    }
+
+    private Rank rank(Job job, long wallMs) {
+        double ageS = (wallMs - job.acceptedMs) / 1000.0;
+        double needS = needS(job);
+        // Lateness counts the aims that are out of reach already; slack is that of the next one.
+        int lateness = 0;
+        double slack = Double.MAX_VALUE;
+        for (Settings.Objective o : settings.objectives()) {
+            double s = slackS(o, job, ageS, needS);
+            if (s < 0) {
+                lateness++;
+            } else {
+                slack = Math.min(slack, s);
+            }
+        }
+        if (slack == Double.MAX_VALUE) {
+            slack = -ageS;
+        }
+        return new Rank(job, job.spec.priority().ordinal(), lateness, slack);
+    }
+
+    /** Seconds that are left before the job must start to meet an aim; MAX_VALUE if the aim is not about it. */
+    private double slackS(Settings.Objective o, Job job, double ageS, double needS) {
+        if (!o.jobClass().isEmpty() && !o.jobClass().equals(job.spec.jobClass())) {
+            return Double.MAX_VALUE;
+        }
+        return switch (o.kind()) {
+            case "deadline" -> Double.isNaN(job.spec.deadlineS()) ? Double.MAX_VALUE : job.spec.deadlineS() * o.times() - ageS - needS;
+            case "finished" -> o.withinS() - ageS - needS;
+            case "wait" -> job.startedCount > 0 && job.startedCount >= atOnce(job) ? Double.MAX_VALUE : o.withinS() - ageS;
+            default -> Double.MAX_VALUE;
+        };
+    }
+
+    /** Tasks of the job that its team's limit lets run at once. */
+    private int atOnce(Job job) {
+        Settings.Team team = settings.teams().get(job.spec.team());
+        if (team == null || job.spec.cpus() <= 0) {
+            return job.spec.tasks();
+        }
+        return (int) Math.max(1, Math.min(job.spec.tasks(), team.cpusMax() / job.spec.cpus()));
+    }
+
+    /** Seconds that the waiting tasks take if the team's whole limit is theirs. */
+    private double needS(Job job) {
+        double rounds = Math.max(1, Math.ceil((double) job.waitingCount / atOnce(job)));
+        return rounds * (estimates.runS(job) + Tuning.START_LAG_S);
+    }
+}
--- a/src/main/java/org/shoreusher/settings/Settings.java
+++ b/src/main/java/org/shoreusher/settings/Settings.java
@@ -33,8 +33,8 @@
     public record Team(String name, double cpus, double cpusMax, double gpus, double gpusMax) {
     }
 
-    /** An aim on starting or finishing, as the users stated it. */
-    public record Objective(String kind, String jobClass, double withinS, double share) {
+    /** An aim on starting or finishing, as the users stated it; {@code times} stretches a deadline. */
+    public record Objective(String kind, String jobClass, double withinS, double share, double times) {
     }
 
     /** Thrown with one clear sentence when the file can't be used. */
@@ -86,7 +86,7 @@
         }
         List<Objective> objectives = new ArrayList<>();
         for (Tree o : d.list("objectives")) {
-            objectives.add(new Objective(o.text("kind"), o.textOr("class", ""), o.numberOr("within_s", Double.NaN), o.numberOr("share", Double.NaN)));
+            objectives.add(new Objective(o.text("kind"), o.textOr("class", ""), o.numberOr("within_s", Double.NaN), o.numberOr("share", Double.NaN), o.numberOr("times", 1)));
         }
         List<String> zones = d.texts("zones");
         Tree workers = d.map("workers");
--- a/src/main/java/org/shoreusher/settings/Tuning.java
+++ b/src/main/java/org/shoreusher/settings/Tuning.java
@@ -78,6 +78,14 @@
     /** ms; longest such pause. */
     public static final long FAIL_PAUSE_MAX_MS = 30_000;
 
+    // ---- policy ------------------------------------------------------------------------------
+    /** weight of one finished task in the correction of its class's estimates. */
+    public static final double ESTIMATE_WEIGHT = 0.05;
+    /** s; no task is expected to run shorter. */
+    public static final double LEAST_RUN_S = 1;
+    /** s; from the decision to start a task to its running, image aside: about a report and a command. */
+    public static final double START_LAG_S = 2;
+
     // ---- cloud -------------------------------------------------------------------------------
     /** ms; a cloud call is given up after this; answers take 150 ms. */
     public static final long CLOUD_TIMEOUT_MS = 4_000;
