--- a/src/main/java/org/shoreusher/core/Part.java
+++ b/src/main/java/org/shoreusher/core/Part.java
@@ -63,6 +63,7 @@
     private boolean loaded;
     private boolean rebuilt;
     private long nextStatusMs;
+    private long nextPreemptMs;
 
     /**
      * @param writtenAt when the takeover was sent
@@ -166,6 +167,7 @@
         writeMachineRecords();
         finishJobs();
         fleet.step();
+        preempt();
         if (out.now.steadyMs() >= nextStatusMs) {
             nextStatusMs = out.now.steadyMs() + Tuning.STATUS_LINE_MS;
             out.detail(status());
@@ -677,6 +679,8 @@
         for (Live live : m.tasks.values()) {
             if (live.doomed) {
                 orders.add(stop(live, 0));
+            } else if (live.stopping && live.state != Live.State.SAVING) {
+                orders.add(stop(live, graceS(live)));
             }
         }
     }
@@ -691,13 +695,7 @@
     }
 
     private void start(Machine m, List<WorkerOrder> orders) {
-        List<Planner.Slot> slots = new ArrayList<>();
-        for (Machine other : machines.values()) {
-            if (available(other)) {
-                slots.add(new Planner.Slot(other));
-            }
-        }
-        Planner planner = new Planner(slots, this::cpusLeft, this::gpusLeft);
+        Planner planner = planner();
         for (Job job : ordered()) {
             planner.place(job, job.waitingCount);
         }
@@ -727,6 +725,35 @@
         return list;
     }
 
+    private void preempt() {
+        if (out.now.steadyMs() < nextPreemptMs || !mayStart()) {
+            return;
+        }
+        nextPreemptMs = out.now.steadyMs() + Tuning.PREEMPT_EVERY_MS;
+        List<Job> ordered = ordered();
+        if (ordered.isEmpty()) {
+            return;
+        }
+        for (Live live : new Preemption(this, urgency, out.now).choose(ordered, planner())) {
+            live.stopping = true;
+            halt(live, graceS(live));
+        }
+    }
+
+    private static double graceS(Live live) {
+        return live.job.spec.saveS() * Tuning.SAVE_SLACK;
+    }
+
+    private Planner planner() {
+        List<Planner.Slot> slots = new ArrayList<>();
+        for (Machine other : machines.values()) {
+            if (available(other)) {
+                slots.add(new Planner.Slot(other));
+            }
+        }
+        return new Planner(slots, this::cpusLeft, this::gpusLeft);
+    }
+
     private static WorkerOrder stop(Live live, double graceS) {
         return new WorkerOrder(WorkerOrder.Kind.STOP, live.job.id, live.index, live.attempt, graceS);
     }
--- a/src/main/java/org/shoreusher/core/Urgency.java
+++ b/src/main/java/org/shoreusher/core/Urgency.java
@@ -36,6 +36,12 @@
         }
     }
 
+    /** Whether a task of the job can be stopped and start again later without costing the job an aim. */
+    boolean canSpare(Job job, long wallMs) {
+        Rank r = rank(job, wallMs);
+        return r.slackS() < 0 || r.slackS() > Tuning.SPARE_SLACK_S;
+    }
+
     private Rank rank(Job job, long wallMs) {
         double ageS = (wallMs - job.acceptedMs) / 1000.0;
         double needS = needS(job);
--- a/src/main/java/org/shoreusher/settings/Tuning.java
+++ b/src/main/java/org/shoreusher/settings/Tuning.java
@@ -86,6 +86,15 @@
     /** s; from the decision to start a task to its running, image aside: about a report and a command. */
     public static final double START_LAG_S = 2;
 
+    /** ms; how often preemption is considered. */
+    public static final long PREEMPT_EVERY_MS = 1_000;
+    /** ms; a start counts for the aims only if no command stops the task within 30 s (protocol); plus a margin. */
+    public static final long START_COUNTS_MS = 32_000;
+    /** s; a job whose last chance to start is further away can spare a running task. */
+    public static final double SPARE_SLACK_S = 60;
+    /** times the save time that a stopped task is given, as machines differ in speed. */
+    public static final double SAVE_SLACK = 2;
+
     // ---- cloud -------------------------------------------------------------------------------
     /** ms; a cloud call is given up after this; answers take 150 ms. */
     public static final long CLOUD_TIMEOUT_MS = 4_000;
