--- a/src/main/java/org/shoreusher/core/Fleet.java
+++ b/src/main/java/org/shoreusher/core/Fleet.java
@@ -298,7 +298,7 @@
         // Lists are at most twice their lag old, and a machine once listed stays so until it is gone.
         long shown = (long) (2 * settings.listLagS() * 1000) + Tuning.LIST_SLACK_MS;
         for (Machine m : new ArrayList<>(part.machines().values())) {
-            if (!names.contains(m.id) && askedAt.wallMs() - m.rentedWallMs > shown && askedAt.steadyMs() - m.knownAtMs > shown) {
+            if (!names.contains(m.id) && askedAt.wallMs() - m.rentedWallMs > shown) {
                 part.gone(m, "no longer in the cloud's list");
             }
         }
--- a/src/main/java/org/shoreusher/core/Machine.java
+++ b/src/main/java/org/shoreusher/core/Machine.java
@@ -25,7 +25,6 @@
     final String zone;
     final boolean spot;
     final long rentedWallMs;
-    final long knownAtMs;
     State state = State.BOOTING;
     String address;
     long session;
@@ -53,13 +52,12 @@
     /** Jobs that failed here since the last success. */
     final ObjectOpenHashSet<String> failedJobs = new ObjectOpenHashSet<>();
 
-    Machine(String id, MachineType type, String zone, boolean spot, long rentedWallMs, long knownAtMs) {
+    Machine(String id, MachineType type, String zone, boolean spot, long rentedWallMs) {
         this.id = id;
         this.type = type;
         this.zone = zone;
         this.spot = spot;
         this.rentedWallMs = rentedWallMs;
-        this.knownAtMs = knownAtMs;
     }
 
     static String taskKey(String job, int index) {
--- a/src/main/java/org/shoreusher/core/Part.java
+++ b/src/main/java/org/shoreusher/core/Part.java
@@ -62,6 +62,9 @@
     private long nextRenewMs;
     private boolean loaded;
     private boolean rebuilt;
+    /** What machines that are not yet heard may hold, of any team. */
+    private double unknownCpus;
+    private double unknownGpus;
     private long nextStatusMs;
     private long nextPreemptMs;
 
@@ -120,12 +123,12 @@
 
     double cpusLeft(String team) {
         Settings.Team t = settings.teams().get(team);
-        return t == null ? 0 : t.cpusMax() - teamCpus.getDouble(team);
+        return t == null ? 0 : t.cpusMax() - teamCpus.getDouble(team) - unknownCpus;
     }
 
     double gpusLeft(String team) {
         Settings.Team t = settings.teams().get(team);
-        return t == null ? 0 : t.gpusMax() - teamGpus.getDouble(team);
+        return t == null ? 0 : t.gpusMax() - teamGpus.getDouble(team) - unknownGpus;
     }
 
     double cpusUsed(String team) {
@@ -138,9 +141,12 @@
                 && out.now.steadyMs() - m.reportedAtMs < settings.reportS() * 1000 * Tuning.QUIET_REPORTS;
     }
 
-    /** Whether commands that start something may be given now. */
+    /**
+     * Whether commands that start something may be given now. During the rebuild only jobs accepted under
+     * this owner have waiting tasks, and every team is charged with all that silent machines may hold.
+     */
     boolean mayStart() {
-        return rebuilt && holds() && mirror.ageMs() < Tuning.VIEW_STALE_MS;
+        return loaded && holds() && mirror.ageMs() < Tuning.VIEW_STALE_MS;
     }
 
     // ---- time --------------------------------------------------------------------------------
@@ -339,7 +345,7 @@
         if (type == null) {
             return null;
         }
-        Machine m = new Machine(id, type, record.zone(), record.spot(), record.rentedMs(), out.now.steadyMs());
+        Machine m = new Machine(id, type, record.zone(), record.spot(), record.rentedMs());
         m.used = record.used();
         m.recordedUsed = record.used();
         m.recorded = true;
@@ -352,9 +358,13 @@
     /** Ends the rebuild once every machine that may hold tasks has reported or lost its lease. */
     private void rebuild() {
         int waitingFor = 0;
+        unknownCpus = 0;
+        unknownGpus = 0;
         for (Machine m : machines.values()) {
             if (m.used && !m.heard && !leaseEnded(m)) {
                 waitingFor++;
+                unknownCpus += m.type.cpus();
+                unknownGpus += m.type.gpus();
             }
         }
         if (waitingFor > 0) {
@@ -521,7 +531,7 @@
         if (type == null) {
             return null;
         }
-        Machine m = new Machine(id, type, zone, spot, rentedWallMs, out.now.steadyMs());
+        Machine m = new Machine(id, type, zone, spot, rentedWallMs);
         m.answeredAtMs = out.now.steadyMs();
         machines.put(id, m);
         dirtyMachines.add(id);
--- a/src/test/java/org/shoreusher/core/PiecesTest.java
+++ b/src/test/java/org/shoreusher/core/PiecesTest.java
@@ -94,7 +94,7 @@
         Random r = new Random(seed);
         List<Planner.Slot> slots = new ArrayList<>();
         for (int i = 0; i < 1 + r.nextInt(6); i++) {
-            Machine m = new Machine("m" + i, TYPE, r.nextBoolean() ? "a" : "b", r.nextBoolean(), 0, 0);
+            Machine m = new Machine("m" + i, TYPE, r.nextBoolean() ? "a" : "b", r.nextBoolean(), 0);
             m.cpusUsed = r.nextInt(9);
             slots.add(new Planner.Slot(m));
         }
@@ -132,9 +132,9 @@
 
     @Example
     void placesOnTheFullestMachineThatFits() {
-        Machine empty = new Machine("m-empty", TYPE, "a", true, 0, 0);
-        Machine half = new Machine("m-half", TYPE, "a", true, 0, 0);
-        Machine full = new Machine("m-full", TYPE, "a", true, 0, 0);
+        Machine empty = new Machine("m-empty", TYPE, "a", true, 0);
+        Machine half = new Machine("m-half", TYPE, "a", true, 0);
+        Machine full = new Machine("m-full", TYPE, "a", true, 0);
         half.cpusUsed = 4;
         full.cpusUsed = 7;
         Planner planner = new Planner(new ArrayList<>(List.of(new Planner.Slot(empty), new Planner.Slot(half), new Planner.Slot(full))), t -> 100, t -> 0);
