--- a/src/main/java/org/shoreusher/core/Fleet.java
+++ b/src/main/java/org/shoreusher/core/Fleet.java
@@ -111,14 +111,11 @@
         }
     }
 
-    /** How many tasks of a job should run at once, so that its work takes about the horizon. */
+    /** How many tasks of a job should run at once, so that its work takes a part of the time it has. */
     private int wantedAtOnce(Job job) {
         double run = part.estimates().runS(job);
-        double horizon = Tuning.RENT_HORIZON_S;
-        double slack = job.slackS(out.now.wallMs());
-        if (slack < Double.MAX_VALUE) {
-            horizon = Math.min(horizon, Math.max(run, slack / 2));
-        }
+        double left = part.urgency().leftS(job, out.now.wallMs());
+        double horizon = Math.max(run, left == Double.MAX_VALUE ? Tuning.RENT_HORIZON_S : left * Tuning.RENT_TIME_SHARE);
         return (int) Math.ceil(job.waitingCount * Math.min(1, run / horizon));
     }
 
--- a/src/main/java/org/shoreusher/core/Part.java
+++ b/src/main/java/org/shoreusher/core/Part.java
@@ -109,6 +109,10 @@
         return estimates;
     }
 
+    Urgency urgency() {
+        return urgency;
+    }
+
     Map<String, Job> jobs() {
         return jobs;
     }
--- a/src/main/java/org/shoreusher/core/Urgency.java
+++ b/src/main/java/org/shoreusher/core/Urgency.java
@@ -36,6 +36,20 @@
         }
     }
 
+    /** Seconds within which the job must be through to meet the nearest aim it still can; MAX_VALUE if none is left. */
+    double leftS(Job job, long wallMs) {
+        double ageS = (wallMs - job.acceptedMs) / 1000.0;
+        double run = estimates.runS(job);
+        double left = Double.MAX_VALUE;
+        for (Settings.Objective o : settings.objectives()) {
+            double s = slackS(o, job, ageS, 0);
+            if (s > run || o.kind().equals("wait")) {
+                left = Math.min(left, Math.max(s, run));
+            }
+        }
+        return left;
+    }
+
     /** Whether a task of the job can be stopped and start again later without costing the job an aim. */
     boolean canSpare(Job job, long wallMs) {
         Rank r = rank(job, wallMs);
--- a/src/main/java/org/shoreusher/settings/Tuning.java
+++ b/src/main/java/org/shoreusher/settings/Tuning.java
@@ -118,8 +118,10 @@
     public static final long IDLE_KEEP_MS = 20_000;
     /** ms; below this age a machine costs its minimum anyway (protocol: 60 s). */
     public static final long MIN_CHARGE_MS = 60_000;
-    /** s; outstanding work is rented for so that it takes about this long. */
-    public static final double RENT_HORIZON_S = 45;
+    /** s; work without an aim in reach is rented for so that it takes about this long. */
+    public static final double RENT_HORIZON_S = 60;
+    /** share of the time a job has left that its work should take, so that boot and errors fit into the rest. */
+    public static final double RENT_TIME_SHARE = 0.5;
     /** ms; a machine that no list shows although it should is gone; slack on twice the list's lag. */
     public static final long LIST_SLACK_MS = 3_000;
 
