--- a/src/main/java/org/shoreusher/cli/Service.java
+++ b/src/main/java/org/shoreusher/cli/Service.java
@@ -42,7 +42,7 @@
 
     public Service(Settings settings, String owner) {
         this.settings = settings;
-        node = new Node(settings, owner);
+        node = new Node(settings, owner, Tuning.PARTS);
         state = new StateClient(loop, settings, this::mustTake);
         cloud = new CloudClient(loop, settings, this::mustTake);
         workers = new WorkerClient(loop);
--- a/src/main/java/org/shoreusher/core/Fleet.java
+++ b/src/main/java/org/shoreusher/core/Fleet.java
@@ -28,6 +28,9 @@
     private final Object2LongOpenHashMap<Kind> refusedUntil = new Object2LongOpenHashMap<>();
     /** Machines that lists show and no record does, with the moment they were first seen. */
     private final Object2LongOpenHashMap<String> strays = new Object2LongOpenHashMap<>();
+    /** Machines the last plan had nothing for, and how many more it could have filled. */
+    private final Set<Machine> spare = new HashSet<>();
+    private int lacks;
     private long nextPlanMs;
     private long nextListMs;
     private long nextHire = 1;
@@ -54,6 +57,7 @@
             nextPlanMs = out.now.steadyMs() + Tuning.RENT_EVERY_MS;
             retire();
             plan();
+            handOver();
         }
         giveBack();
         list();
@@ -68,9 +72,11 @@
                 slots.add(new Planner.Slot(m));
             }
         }
-        Planner planner = new Planner(slots, part::cpusLeft, part::gpusLeft);
+        Planner planner = new Planner(slots, part::cpusRentable, part::gpusLeft);
         List<Job> jobs = part.ordered();
         int had = slots.size();
+        // Idle machines of other parts come by handover, which is quicker and cheaper than renting.
+        int coming = part.idleElsewhere();
         for (Job job : jobs) {
             if (job.suspect()) {
                 continue;
@@ -93,9 +99,17 @@
         Set<Machine> needed = new HashSet<>();
         planner.placed().forEach(p -> needed.add(p.slot().machine));
         returnIdle(needed);
-        if (renting == null && slots.size() > had) {
+        spare.clear();
+        for (Machine m : part.machines().values()) {
+            if (part.available(m) && m.tasks.isEmpty() && !needed.contains(m)) {
+                spare.add(m);
+            }
+        }
+        lacks = lacking(jobs);
+        if (renting == null && slots.size() - coming > had) {
             // New slots were added behind; the planner has sorted them among the others since.
             slots.removeIf(s -> s.machine != null);
+            slots.subList(slots.size() - coming, slots.size()).clear();
             Planner.Slot first = slots.get(0);
             int count = 0;
             for (Planner.Slot s : slots) {
@@ -111,6 +125,52 @@
         }
     }
 
+    /** Machines that would be filled if every waiting task got its place at once. */
+    private int lacking(List<Job> jobs) {
+        List<Planner.Slot> slots = new ArrayList<>();
+        for (Machine m : part.machines().values()) {
+            if (part.available(m) || m.state == Machine.State.BOOTING) {
+                slots.add(new Planner.Slot(m));
+            }
+        }
+        Planner planner = new Planner(slots, part::cpusRentable, part::gpusLeft);
+        double machines = 0;
+        for (Job job : jobs) {
+            int left = planner.place(job, job.waitingCount);
+            MachineType type = cheapest(job.spec);
+            if (left > 0 && type != null) {
+                machines += left / (double) Math.max(1, new Planner.Slot(null, type, "", true, type.cpus(), type.gpus(), type.memGb()).fits(job.spec));
+            }
+        }
+        return (int) Math.ceil(machines);
+    }
+
+    /** Whether the part has nothing to do for this machine. */
+    boolean spare(Machine m) {
+        return spare.contains(m);
+    }
+
+    /** How many more machines the part could fill at once. */
+    int lacks() {
+        return lacks;
+    }
+
+    /** Hands spare machines to the part that lacks most, and sees begun handovers through. */
+    private void handOver() {
+        int to = part.neediest();
+        int most = to < 0 ? 0 : part.lacksOf(to);
+        for (Machine m : new ArrayList<>(part.machines().values())) {
+            if (m.state == Machine.State.HANDING && !m.handing) {
+                part.handOver(m, m.handTo);
+            } else if (most > 0 && spare.contains(m) && m.state == Machine.State.UP && m.recordedUsed && out.now.steadyMs() - m.idleSinceMs > Tuning.HANDOVER_IDLE_MS) {
+                if (part.handOver(m, to)) {
+                    most--;
+                    spare.remove(m);
+                }
+            }
+        }
+    }
+
     /** How many tasks of a job should run at once, so that its work takes a part of the time it has. */
     private int wantedAtOnce(Job job) {
         double run = part.estimates().runS(job);
--- a/src/main/java/org/shoreusher/core/Hint.java
+++ b/src/main/java/org/shoreusher/core/Hint.java
@@ -3,15 +3,30 @@
 import java.util.Map;
 
 /**
- * What peers tell each other: room and waiting work of the parts they hold, counts of their jobs for
- * display, and whether the state service answers them. No rule rests on a hint.
+ * What peers tell each other. No rule rests on a hint: a wrong or old one costs time, never a promise.
  *
  * @param from    the telling node
  * @param stateOk whether the state service has answered it lately
- * @param room    free CPUs less waiting ones, by part
+ * @param upS     seconds since the telling process started
+ * @param parts   the parts it holds
  * @param running running tasks by job, for display
  * @param done    finished tasks by job, for display
  */
-public record Hint(String from, boolean stateOk, Map<Integer, Double> room, Map<String, Integer> running,
+public record Hint(String from, boolean stateOk, double upS, Map<Integer, PartHint> parts, Map<String, Integer> running,
                    Map<String, Integer> done) {
+
+    /**
+     * How a part stands.
+     *
+     * @param room   free CPUs less those that waiting tasks want
+     * @param idle   machines that it has nothing to do for
+     * @param lacks  machines that it would rent now
+     * @param claims what its tasks use and want of their teams' limits
+     */
+    public record PartHint(double room, int idle, int lacks, Map<String, Claim> claims) {
+    }
+
+    /** CPUs that a team's tasks use or wait for: those of high priority, and the others. */
+    public record Claim(double urgent, double other) {
+    }
 }
--- a/src/main/java/org/shoreusher/core/Keys.java
+++ b/src/main/java/org/shoreusher/core/Keys.java
@@ -1,6 +1,8 @@
 package org.shoreusher.core;
 
+import java.util.Arrays;
 import java.util.LinkedHashMap;
+import java.util.List;
 import java.util.Map;
 import org.shoreusher.wire.Tree;
 import org.shoreusher.wire.UserFormat;
@@ -124,6 +126,43 @@
         }
     }
 
+    /** Each part's share of a team's limit. */
+    record QuotaRecord(double[] cpus, double[] gpus) {
+        static QuotaRecord read(Map<String, Object> value, int parts) {
+            return new QuotaRecord(amounts(value.get("cpus"), parts), amounts(value.get("gpus"), parts));
+        }
+
+        /** Shares for another number of parts are worth nothing, which is safe. */
+        private static double[] amounts(Object list, int parts) {
+            double[] out = new double[parts];
+            if (list instanceof List<?> l && l.size() == parts) {
+                for (int i = 0; i < parts; i++) {
+                    out[i] = ((Number) l.get(i)).doubleValue();
+                }
+            }
+            return out;
+        }
+
+        /** Whole and even shares; the first part gets what is left over. */
+        static QuotaRecord split(double cpus, double gpus, int parts) {
+            return new QuotaRecord(split(cpus, parts), split(gpus, parts));
+        }
+
+        private static double[] split(double amount, int parts) {
+            double[] out = new double[parts];
+            Arrays.fill(out, Math.floor(amount / parts));
+            out[0] = amount - out[parts - 1] * (parts - 1);
+            return out;
+        }
+
+        Map<String, Object> write() {
+            Map<String, Object> m = new LinkedHashMap<>();
+            m.put("cpus", Arrays.stream(cpus).boxed().toList());
+            m.put("gpus", Arrays.stream(gpus).boxed().toList());
+            return m;
+        }
+    }
+
     /** A machine's record: its part; {@code used} is written before the first start. */
     record MachineRecord(int part, String type, String zone, boolean spot, long rentedMs, boolean used) {
         static MachineRecord read(Map<String, Object> value) {
--- a/src/main/java/org/shoreusher/core/Machine.java
+++ b/src/main/java/org/shoreusher/core/Machine.java
@@ -14,6 +14,8 @@
         BOOTING,
         /** Its worker reports, or did. */
         UP,
+        /** Its handover to another part has been sent and not yet confirmed. */
+        HANDING,
         /** Nothing is started on it any more; it is returned once empty. */
         DRAINING,
         /** Its return has been asked for and not yet confirmed. */
@@ -41,6 +43,9 @@
     boolean recordedUsed;
     boolean recorded;
     boolean recording;
+    /** Whether a handover is on its way, and to which part. */
+    boolean handing;
+    int handTo;
     double noticeS = Double.NaN;
     long idleSinceMs = -1;
     double cpusUsed;
--- a/src/main/java/org/shoreusher/core/Node.java
+++ b/src/main/java/org/shoreusher/core/Node.java
@@ -1,9 +1,11 @@
 package org.shoreusher.core;
 
 import it.unimi.dsi.fastutil.objects.Object2ObjectOpenHashMap;
+import java.util.Arrays;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import org.shoreusher.core.Hint.PartHint;
 import org.shoreusher.core.Keys.JobRecord;
 import org.shoreusher.core.Keys.JobStatus;
 import org.shoreusher.core.Keys.MachineRecord;
@@ -17,7 +19,10 @@
  * gives the effects that are to be carried out. It does no I/O, reads no clock and draws nothing at
  * random, so the same batches give the same effects.
  */
-public final class Node {
+public final class Node implements Parts.Peers {
+    /** CPUs; a part of which nothing is heard gets jobs only if all others are far behind. */
+    private static final double UNKNOWN_ROOM = -1_000;
+
     private final Settings settings;
     private final Outbox out;
     private final Mirror mirror;
@@ -27,20 +32,30 @@
     private final Object2ObjectOpenHashMap<String, Hint> hints = new Object2ObjectOpenHashMap<>();
     private final Object2ObjectOpenHashMap<String, Long> hintedAt = new Object2ObjectOpenHashMap<>();
     private long nextHintMs;
+    private long startedMs = -1;
+    /** CPUs of jobs dealt to each part since the last hints went round. */
+    private final double[] dealt;
 
-    /** @param owner the node's name, a slash, and a suffix that no other process has ever had */
-    public Node(Settings settings, String owner) {
+    /**
+     * @param owner the node's name, a slash, and a suffix that no other process has ever had
+     * @param count number of parts; the same on all nodes and for the life of the state service's contents
+     */
+    public Node(Settings settings, String owner, int count) {
         this.settings = settings;
-        out = new Outbox(settings);
+        dealt = new double[count];
+        out = new Outbox(settings, count);
         mirror = new Mirror(out, this::changed);
         types = new Types(out, mirror);
-        parts = new Parts(settings, out, mirror, types, owner);
+        parts = new Parts(count, settings, out, mirror, types, this, owner);
         desk = new UserDesk(settings, out, mirror, types, this::counts, this::roomiestPart);
     }
 
     /** Works through a batch; the effects are to be carried out in order, at once. */
     public List<Effect> step(Reading now, List<Command> batch) {
         out.now = now;
+        if (startedMs < 0) {
+            startedMs = now.steadyMs();
+        }
         for (Command command : batch) {
             handle(command);
         }
@@ -111,12 +126,12 @@
 
     /** A machine without record belongs to the part that rented it, else to the one its name falls to. */
     private int unrecorded(String machine) {
-        for (int n = 0; n < Tuning.PARTS; n++) {
+        for (int n = 0; n < parts.count(); n++) {
             if (parts.owned(n) != null && parts.owned(n).machines().containsKey(machine)) {
                 return n;
             }
         }
-        return Parts.partOf(machine);
+        return parts.partOf(machine);
     }
 
     private void changed(String key, Mirror.Entry before, Mirror.Entry after) {
@@ -126,6 +141,13 @@
             }
         } else if (key.startsWith(Keys.PART) && key.indexOf('/', Keys.PART.length()) < 0 && after != null) {
             parts.recordChanged(Integer.parseInt(key.substring(Keys.PART.length())), PartRecord.read(after.value()));
+        } else if (key.startsWith(Keys.MACHINE) && after != null) {
+            MachineRecord record = MachineRecord.read(after.value());
+            for (int n = 0; n < parts.count(); n++) {
+                if (parts.owned(n) != null) {
+                    parts.owned(n).machineChanged(key.substring(Keys.MACHINE.length()), record);
+                }
+            }
         } else if (key.equals(Keys.TYPES) && after != null) {
             types.stored(after.value());
         }
@@ -144,7 +166,7 @@
     // ---- hints -------------------------------------------------------------------------------
 
     private UserDesk.Counts counts(String id) {
-        for (int n = 0; n < Tuning.PARTS; n++) {
+        for (int n = 0; n < parts.count(); n++) {
             Part part = parts.owned(n);
             Job job = part == null ? null : part.jobs().get(id);
             if (job != null) {
@@ -159,55 +181,71 @@
         return new UserDesk.Counts(0, 0);
     }
 
-    private int roomiestPart() {
-        Map<Integer, Double> room = new HashMap<>();
+    @Override
+    public PartHint hint(int part) {
+        if (parts.owned(part) != null) {
+            return parts.owned(part).holds() ? parts.owned(part).hint() : null;
+        }
+        for (Hint h : hints.values()) {
+            if (fresh(h) && h.parts().containsKey(part)) {
+                return h.parts().get(part);
+            }
+        }
+        return null;
+    }
+
+    @Override
+    public int before(int ownedCount) {
+        int before = 0;
+        double up = (out.now.steadyMs() - startedMs) / 1000.0;
         for (Hint h : hints.values()) {
-            if (fresh(h)) {
-                room.putAll(h.room());
+            if (fresh(h) && h.stateOk() && (h.parts().size() < ownedCount || (h.parts().size() == ownedCount && h.upS() < up))) {
+                before++;
             }
         }
+        return before;
+    }
+
+    @Override
+    public boolean anyWithTwoLess(int ownedCount) {
+        return hints.values().stream().anyMatch(h -> fresh(h) && h.stateOk() && h.upS() > Tuning.DEAL_TO_UP_S && h.parts().size() <= ownedCount - 2);
+    }
+
+    /** Deals a job to the part with most room, and remembers it until the part's next hint tells. */
+    private int roomiestPart(JobSpec spec) {
         int best = 0;
         double most = Double.NEGATIVE_INFINITY;
-        for (int n = 0; n < Tuning.PARTS; n++) {
-            double r = parts.owned(n) != null ? room(parts.owned(n)) : room.getOrDefault(n, Double.NEGATIVE_INFINITY);
-            if (r > most) {
-                most = r;
+        for (int n = 0; n < parts.count(); n++) {
+            PartHint hint = hint(n);
+            double room = (hint == null ? UNKNOWN_ROOM : hint.room()) - dealt[n];
+            if (room > most) {
+                most = room;
                 best = n;
             }
         }
+        dealt[best] += spec.tasks() * spec.cpus();
         return best;
     }
 
-    /** Free CPUs of a part less those its waiting tasks want. */
-    private static double room(Part part) {
-        double room = 0;
-        for (Machine m : part.machines().values()) {
-            room += m.state == Machine.State.UP || m.state == Machine.State.BOOTING ? m.cpusFree() : 0;
-        }
-        for (Job job : part.jobs().values()) {
-            room -= job.waitingCount * job.spec.cpus();
-        }
-        return room;
-    }
-
     private void hint() {
         if (out.now.steadyMs() < nextHintMs) {
             return;
         }
         nextHintMs = out.now.steadyMs() + Tuning.HINT_MS;
-        HashMap<Integer, Double> room = new HashMap<>();
+        Arrays.fill(dealt, 0);
+        HashMap<Integer, PartHint> held = new HashMap<>();
         HashMap<String, Integer> running = new HashMap<>();
         HashMap<String, Integer> finished = new HashMap<>();
-        for (int n = 0; n < Tuning.PARTS; n++) {
+        for (int n = 0; n < parts.count(); n++) {
             Part part = parts.owned(n);
             if (part != null && part.holds()) {
-                room.put(n, room(part));
+                held.put(n, part.hint());
                 for (Job job : part.jobs().values()) {
                     running.put(job.id, job.live.size());
                     finished.put(job.id, job.done.cardinality());
                 }
             }
         }
-        out.add(new Effect.Tell(new Hint(settings.host(), out.stateSilenceMs() < Tuning.READY_STATE_MS, room, running, finished)));
+        out.add(new Effect.Tell(new Hint(settings.host(), out.stateSilenceMs() < Tuning.READY_STATE_MS, (out.now.steadyMs() - startedMs) / 1000.0, held, running, finished)));
     }
 }
--- a/src/main/java/org/shoreusher/core/Outbox.java
+++ b/src/main/java/org/shoreusher/core/Outbox.java
@@ -30,16 +30,17 @@
     private long stateFailedAt = Long.MIN_VALUE / 2;
     Reading now = new Reading(0, 0);
 
-    Outbox(Settings s) {
-        // Any node may hold all parts, so the shares of owner work add up to more than the rate when
-        // several nodes are busy at once; a 429 is then answered like any refusal, by a later try.
+    Outbox(Settings s, int parts) {
+        int owners = Math.min(s.nodes(), parts);
+        // The shares of owners' and users' writes add up to a little more than the rate, since they seldom
+        // come together; a 429 is then answered like any refusal, by a later try.
         double rate = s.stateRps() * Tuning.RATE_USE / s.nodes();
         double writes = s.stateWriteRps() * Tuning.RATE_USE;
         stateTokens = new TokenBucket(rate * (1 - Tuning.RENEWAL_SHARE), rate / 2);
         renewalTokens = new TokenBucket(Math.max(2, rate * Tuning.RENEWAL_SHARE), Math.max(4, rate * Tuning.RENEWAL_SHARE));
-        writeTokens = new TokenBucket(writes / 2, writes / 2);
+        writeTokens = new TokenBucket(writes * Tuning.OWNER_WRITE_SHARE / owners, writes * Tuning.OWNER_WRITE_SHARE / owners);
         userWriteTokens = new TokenBucket(writes / s.nodes(), writes / s.nodes());
-        cloudTokens = new TokenBucket(s.cloudRps() * Tuning.RATE_USE / Math.min(s.nodes(), Tuning.PARTS), s.cloudRps() / Math.min(s.nodes(), Tuning.PARTS));
+        cloudTokens = new TokenBucket(s.cloudRps() * Tuning.RATE_USE / owners, s.cloudRps() / owners);
     }
 
     List<Effect> drain() {
--- a/src/main/java/org/shoreusher/core/Part.java
+++ b/src/main/java/org/shoreusher/core/Part.java
@@ -7,11 +7,14 @@
 import it.unimi.dsi.fastutil.objects.ObjectOpenHashSet;
 import java.util.ArrayList;
 import java.util.BitSet;
+import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import org.shoreusher.core.Command.StateReply;
 import org.shoreusher.core.Effect.StateOp;
+import org.shoreusher.core.Hint.Claim;
+import org.shoreusher.core.Hint.PartHint;
 import org.shoreusher.core.Keys.JobRecord;
 import org.shoreusher.core.Keys.JobStatus;
 import org.shoreusher.core.Keys.MachineRecord;
@@ -34,7 +37,16 @@
  * so a write that arrives after another takeover changes nothing.
  */
 final class Part {
+    /** What is known of the other parts, by hints. */
+    interface Others {
+        /** A part's fresh hint, or null. */
+        PartHint hint(int part);
+    }
+
     final int n;
+    private final int parts;
+    private final Others others;
+    private final Quota quota;
     private final Settings settings;
     private final Outbox out;
     private final Mirror mirror;
@@ -72,8 +84,10 @@
      * @param writtenAt when the takeover was sent
      * @param version   the revision at which it was applied
      */
-    Part(int n, Settings settings, Outbox out, Mirror mirror, Types types, PartRecord record, Reading writtenAt, long version) {
+    Part(int n, int parts, Settings settings, Outbox out, Mirror mirror, Types types, Others others, PartRecord record, Reading writtenAt, long version) {
         this.n = n;
+        this.parts = parts;
+        this.others = others;
         this.settings = settings;
         this.out = out;
         this.mirror = mirror;
@@ -84,6 +98,7 @@
         this.recordVersion = version;
         this.takenAtMs = out.now.steadyMs();
         this.takenRevision = version;
+        this.quota = new Quota(n, parts, settings, out, mirror, Map.of(Keys.fence(n), version));
         this.lease = new PartLease(settings);
         this.lease.confirmed(record.expiryMs(), writtenAt);
         this.nextRenewMs = writtenAt.steadyMs() + Tuning.HEARTBEAT_MS;
@@ -126,17 +141,23 @@
     }
 
     double cpusLeft(String team) {
-        Settings.Team t = settings.teams().get(team);
-        return t == null ? 0 : t.cpusMax() - teamCpus.getDouble(team) - unknownCpus;
+        return quota.startCpus(team) - teamCpus.getDouble(team) - unknownCpus;
     }
 
     double gpusLeft(String team) {
-        Settings.Team t = settings.teams().get(team);
-        return t == null ? 0 : t.gpusMax() - teamGpus.getDouble(team) - unknownGpus;
+        return quota.gpus(team) - teamGpus.getDouble(team) - unknownGpus;
     }
 
-    double cpusUsed(String team) {
-        return teamCpus.getDouble(team);
+    /** CPUs left if the whole limit of the team could be had: what renting goes by. */
+    double cpusRentable(String team) {
+        Settings.Team t = settings.teams().get(team);
+        double others = t == null ? 0 : t.cpusMax();
+        for (int m = 0; m < parts; m++) {
+            PartHint hint = m == n ? null : this.others.hint(m);
+            Claim claim = hint == null ? null : hint.claims().get(team);
+            others -= claim == null ? 0 : claim.urgent() + claim.other();
+        }
+        return Math.max(others, quota.cpus(team)) - teamCpus.getDouble(team) - unknownCpus;
     }
 
     /** Whether a machine reports and may be given work. */
@@ -176,6 +197,7 @@
         }
         writeMachineRecords();
         finishJobs();
+        quota.step(team -> teamCpus.getDouble(team) + unknownCpus, this::claims, this::quantum);
         fleet.step();
         preempt();
         if (out.now.steadyMs() >= nextStatusMs) {
@@ -184,6 +206,81 @@
         }
     }
 
+    private Claim[] claims(String team) {
+        Claim[] claims = new Claim[parts];
+        for (int m = 0; m < parts; m++) {
+            PartHint hint = m == n ? null : others.hint(m);
+            claims[m] = m == n ? claim(team) : hint == null ? null : hint.claims().getOrDefault(team, new Claim(0, 0));
+        }
+        return claims;
+    }
+
+    private Claim claim(String team) {
+        double urgent = 0;
+        double other = 0;
+        for (Job job : jobs.values()) {
+            if (job.spec.team().equals(team)) {
+                double cpus = (job.waitingCount + job.live.size()) * job.spec.cpus();
+                if (job.spec.priority().compareTo(JobSpec.Priority.HIGH) <= 0) {
+                    urgent += cpus;
+                } else {
+                    other += cpus;
+                }
+            }
+        }
+        return new Claim(urgent, other);
+    }
+
+    /** The largest step in which tasks of a team use CPUs, so that shares are not cut into useless bits. */
+    private double quantum(String team) {
+        double most = 0;
+        for (Job job : jobs.values()) {
+            most = job.spec.team().equals(team) ? Math.max(most, job.spec.cpus()) : most;
+        }
+        return most;
+    }
+
+    /** What the other parts are told of this one. */
+    PartHint hint() {
+        double room = 0;
+        int idle = 0;
+        for (Machine m : machines.values()) {
+            room += m.state == Machine.State.UP || m.state == Machine.State.BOOTING ? m.cpusFree() : 0;
+            idle += fleet.spare(m) ? 1 : 0;
+        }
+        Map<String, Claim> claims = new HashMap<>();
+        for (Job job : jobs.values()) {
+            room -= job.waitingCount * job.spec.cpus();
+            claims.computeIfAbsent(job.spec.team(), this::claim);
+        }
+        return new PartHint(room, idle, fleet.lacks(), claims);
+    }
+
+    int idleElsewhere() {
+        int idle = 0;
+        for (int m = 0; m < parts; m++) {
+            PartHint hint = m == n ? null : others.hint(m);
+            idle += hint == null ? 0 : hint.idle();
+        }
+        return idle;
+    }
+
+    int lacksOf(int part) {
+        PartHint hint = others.hint(part);
+        return hint == null ? 0 : hint.lacks();
+    }
+
+    /** The other part that could fill most machines, or -1. */
+    int neediest() {
+        int best = -1;
+        for (int m = 0; m < parts; m++) {
+            if (m != n && lacksOf(m) > (best < 0 ? 0 : lacksOf(best))) {
+                best = m;
+            }
+        }
+        return best;
+    }
+
     private String status() {
         int[] states = new int[Machine.State.values().length];
         double used = 0;
@@ -195,7 +292,7 @@
         }
         Object2IntOpenHashMap<String> waiting = new Object2IntOpenHashMap<>();
         jobs.values().forEach(j -> waiting.addTo(j.spec.jobClass(), j.waitingCount));
-        return "status: part " + n + " term " + term + ", machines " + states[0] + " booting " + states[1] + " up " + (states[2] + states[3]) + " leaving, CPUs "
+        return "status: part " + n + " term " + term + ", machines " + states[0] + " booting " + states[1] + " up " + (states[2] + states[3] + states[4]) + " leaving, CPUs "
                 + used + " of " + all + ", " + jobs.size() + " jobs, waiting " + waiting;
     }
 
@@ -293,6 +390,17 @@
         }
     }
 
+    /**
+     * Gives the part up so that another node can take it at once. This node acts for it no more from before the
+     * write is sent; if the write is lost, the lease runs out as after a crash.
+     */
+    void release() {
+        PartRecord record = new PartRecord(owner, 0, term, FinishedRecords.of(jobs.values(), settings, loaded).chunk(0));
+        if (out.renewal(new StateOp.Multi(guards(Keys.part(n), recordVersion), Map.of(Keys.part(n), record.write())), reply -> { })) {
+            lose("released for a node that holds fewer");
+        }
+    }
+
     private void lose(String why) {
         if (!lost) {
             lost = true;
@@ -477,8 +585,9 @@
         if (m == null) {
             m = adopt(r);
         }
-        // A late report's sender has given up on it; its task list is as old as the report.
-        if (m == null || (m.heard && !r.newerThan(m.session, m.seq))) {
+        // A late report's sender has given up on it; its task list is as old as the report. A machine whose
+        // handover is on its way may hold the next owner's tasks already, which are not this one's to judge.
+        if (m == null || m.state == Machine.State.HANDING || (m.heard && !r.newerThan(m.session, m.seq))) {
             out.later(request);
             return;
         }
@@ -810,7 +919,43 @@
 
     /** Whether this part is the one to take on a machine that no record shows. */
     boolean strayHere(String id) {
-        return mirror.get(Keys.machine(id)) == null && Parts.partOf(id) == n;
+        return mirror.get(Keys.machine(id)) == null && Math.floorMod(id.hashCode(), parts) == n;
+    }
+
+    /** The view shows a machine's record: one that was handed to this part is expected to report. */
+    void machineChanged(String id, MachineRecord record) {
+        Machine m = machines.get(id);
+        if (loaded && m == null && record.part() == n) {
+            addMachine(id, record);
+        } else if (m != null && m.tasks.isEmpty() && record.part() != n) {
+            machines.remove(id);
+        }
+    }
+
+    /**
+     * Hands an idle machine with nothing in flight to another part. From the moment the write is sent nothing
+     * starts on it; the write is repeated until it is done or the machine's record has changed.
+     */
+    boolean handOver(Machine m, int to) {
+        Map<String, Long> guards = guards(Keys.machine(m.id), mirror.version(Keys.machine(m.id)));
+        Map<String, Map<String, Object>> writes = Map.of(Keys.machine(m.id), new MachineRecord(to, m.type.name(), m.zone, m.spot, m.rentedWallMs, true).write());
+        boolean sent = out.state(new StateOp.Multi(guards, writes), reply -> {
+            m.handing = false;
+            if (lost) {
+                return;
+            }
+            if (reply.status() == 200) {
+                applied(reply, writes);
+                machines.remove(m.id);
+                out.log("handover: " + m.id + " from part " + n + " to part " + to);
+            }
+        });
+        if (sent) {
+            m.state = Machine.State.HANDING;
+            m.handing = true;
+            m.handTo = to;
+        }
+        return sent;
     }
 
     /** Records machines before their first start, and removes the records of those that are gone. */
--- a/src/main/java/org/shoreusher/core/Parts.java
+++ b/src/main/java/org/shoreusher/core/Parts.java
@@ -7,19 +7,35 @@
 import org.shoreusher.settings.Settings;
 import org.shoreusher.settings.Tuning;
 
-/** Takes parts that are free, and holds those this node owns. */
+/** Takes parts that are free, deals them out evenly, and holds those this node owns. */
 final class Parts {
+    /** What is known of the other nodes, by hints. */
+    interface Peers extends Part.Others {
+        /** How many peers should come first to a free part: those that hold fewer, or as many and are younger. */
+        int before(int ownedCount);
+
+        /** Whether a peer that is there for some time holds at least two parts less. */
+        boolean anyWithTwoLess(int ownedCount);
+    }
+
     private final Settings settings;
     private final Outbox out;
     private final Mirror mirror;
     private final Types types;
     private final String owner;
-    private final Part[] owned = new Part[Tuning.PARTS];
-    private final long[] freeSinceMs = new long[Tuning.PARTS];
+    private final Peers peers;
+    private final Part[] owned;
+    private final int first;
+    private final long[] freeSinceMs;
+    private long nextDealMs;
     private boolean taking;
     private long nextTakeMs;
 
-    Parts(Settings settings, Outbox out, Mirror mirror, Types types, String owner) {
+    Parts(int count, Settings settings, Outbox out, Mirror mirror, Types types, Peers peers, String owner) {
+        this.peers = peers;
+        owned = new Part[count];
+        first = (int) settings.members().stream().filter(m -> m.host().compareTo(settings.host()) < 0).count() % count;
+        freeSinceMs = new long[count];
         this.settings = settings;
         this.out = out;
         this.mirror = mirror;
@@ -47,8 +63,12 @@
     }
 
     /** Which part takes on a machine or job that nothing else decides about. */
-    static int partOf(String id) {
-        return Math.floorMod(id.hashCode(), Tuning.PARTS);
+    int partOf(String id) {
+        return Math.floorMod(id.hashCode(), owned.length);
+    }
+
+    int count() {
+        return owned.length;
     }
 
     void step() {
@@ -60,10 +80,13 @@
                 }
             }
         }
+        dealOut();
         if (!mirror.loaded() || taking || mirror.ageMs() > Tuning.VIEW_STALE_MS || out.now.steadyMs() < nextTakeMs) {
             return;
         }
-        for (int n = 0; n < owned.length && !taking; n++) {
+        for (int i = 0; i < owned.length && !taking; i++) {
+            // Each node begins with another part, so that they do not race for the same one at a start.
+            int n = (first + i) % owned.length;
             PartRecord record = record(n);
             // A takeover of this process that got no answer may have been applied: nobody acts on it.
             boolean ownTrace = record != null && record.owner().equals(owner);
@@ -72,13 +95,31 @@
             } else if (freeSinceMs[n] == 0) {
                 freeSinceMs[n] = out.now.steadyMs();
             }
-            // A node that holds parts already leaves others time to come first.
-            if (freeSinceMs[n] > 0 && out.now.steadyMs() - freeSinceMs[n] >= ownedCount() * Tuning.TAKE_PAUSE_MS) {
+            // Who holds fewer comes first, so that parts spread out; then who is younger, since a rolling
+            // restart comes back to that one last.
+            if (freeSinceMs[n] > 0 && out.now.steadyMs() - freeSinceMs[n] >= peers.before(ownedCount()) * Tuning.TAKE_PAUSE_MS) {
                 take(n, record);
             }
         }
     }
 
+    /** Gives a part up, if another node holds two less. */
+    private void dealOut() {
+        if (out.now.steadyMs() < nextDealMs) {
+            return;
+        }
+        nextDealMs = out.now.steadyMs() + Tuning.DEAL_EVERY_MS;
+        if (!peers.anyWithTwoLess(ownedCount())) {
+            return;
+        }
+        for (Part part : owned) {
+            if (part != null && part.holds() && part.rebuilt()) {
+                part.release();
+                return;
+            }
+        }
+    }
+
     private void take(int n, PartRecord before) {
         nextTakeMs = out.now.steadyMs() + Tuning.TAKE_PAUSE_MS;
         Mirror.Entry counter = mirror.get(Keys.TERM);
@@ -96,9 +137,13 @@
             taking = false;
             if (reply.status() == 200) {
                 long revision = ((Number) reply.body().get("ledger")).longValue();
-                owned[n] = new Part(n, settings, out, mirror, types, record, sentAt, revision);
+                owned[n] = new Part(n, owned.length, settings, out, mirror, types, peers, record, sentAt, revision);
                 writes.forEach((key, value) -> mirror.apply(key, value, revision));
+                nextTakeMs = out.now.steadyMs();
                 out.log("takeover: part " + n + " term " + term + (before == null ? ", new" : " from " + before.owner()));
+            } else if (reply.status() == 409) {
+                // Another took this part, or counted the term up for a different one.
+                nextTakeMs = out.now.steadyMs() + Tuning.TAKE_AGAIN_MS;
             }
         });
     }
--- /dev/null
+++ b/src/main/java/org/shoreusher/core/Quota.java
@@ -0,0 +1,207 @@
+package org.shoreusher.core;
+
+import it.unimi.dsi.fastutil.objects.Object2ObjectOpenHashMap;
+import it.unimi.dsi.fastutil.objects.ObjectOpenHashSet;
+import java.util.Arrays;
+import java.util.LinkedHashMap;
+import java.util.Map;
+import java.util.function.Function;
+import org.shoreusher.core.Effect.StateOp;
+import org.shoreusher.core.Hint.Claim;
+import org.shoreusher.core.Keys.QuotaRecord;
+import org.shoreusher.settings.Settings;
+import org.shoreusher.settings.Tuning;
+
+/**
+ * A part's share of each team's limit. The shares of all parts are in one record per team and never sum to
+ * more than the limit. Only a part's owner lowers its share, in the write that raises another's, and it
+ * keeps to the lower share from before that write is sent, so at no moment may two parts use the same CPU.
+ */
+final class Quota {
+    /** A write that lowers this part's share, valid only upon one version of the record. */
+    private record Give(long version, QuotaRecord record) {
+    }
+
+    private final int n;
+    private final int parts;
+    private final Settings settings;
+    private final Outbox out;
+    private final Mirror mirror;
+    private final Map<String, Long> fence;
+    /** Gives whose fate is open; until it is known, the part keeps to what would be left. */
+    private final Object2ObjectOpenHashMap<String, Give> giving = new Object2ObjectOpenHashMap<>();
+    private final ObjectOpenHashSet<String> inFlight = new ObjectOpenHashSet<>();
+    /** What this part should keep to when others' claims are weighed, by team. */
+    private final Object2ObjectOpenHashMap<String, Double> target = new Object2ObjectOpenHashMap<>();
+    private boolean creating;
+    private long nextMs;
+
+    Quota(int n, int parts, Settings settings, Outbox out, Mirror mirror, Map<String, Long> fence) {
+        this.n = n;
+        this.parts = parts;
+        this.settings = settings;
+        this.out = out;
+        this.mirror = mirror;
+        this.fence = fence;
+    }
+
+    /** CPUs that this part's tasks of a team may use. */
+    double cpus(String team) {
+        if (parts == 1) {
+            Settings.Team t = settings.teams().get(team);
+            return t == null ? 0 : t.cpusMax();
+        }
+        QuotaRecord stored = stored(team);
+        Give open = giving.get(team);
+        return stored == null ? 0 : open == null ? stored.cpus()[n] : Math.min(stored.cpus()[n], open.record.cpus()[n]);
+    }
+
+    double gpus(String team) {
+        if (parts == 1) {
+            Settings.Team t = settings.teams().get(team);
+            return t == null ? 0 : t.gpusMax();
+        }
+        QuotaRecord stored = stored(team);
+        Give open = giving.get(team);
+        return stored == null ? 0 : open == null ? stored.gpus()[n] : Math.min(stored.gpus()[n], open.record.gpus()[n]);
+    }
+
+    /** CPUs up to which new tasks should be started, so that another part's more pressing ones get theirs. */
+    double startCpus(String team) {
+        Double t = target.get(team);
+        return t == null ? cpus(team) : Math.min(cpus(team), t);
+    }
+
+    private QuotaRecord stored(String team) {
+        Mirror.Entry e = mirror.get(Keys.quota(team));
+        return e == null ? null : QuotaRecord.read(e.value(), parts);
+    }
+
+    /**
+     * Creates missing records and gives away what others need more.
+     *
+     * @param used   CPUs that this part's tasks of a team use or may use
+     * @param claims each part's claims, null where no fresh hint tells
+     */
+    void step(Function<String, Double> used, Function<String, Claim[]> claims, Function<String, Double> quantum) {
+        if (parts == 1 || out.now.steadyMs() < nextMs) {
+            return;
+        }
+        nextMs = out.now.steadyMs() + Tuning.QUOTA_EVERY_MS;
+        create();
+        for (Settings.Team team : settings.teams().values()) {
+            if (stored(team.name()) != null && !inFlight.contains(team.name())) {
+                weigh(team, used.apply(team.name()), claims.apply(team.name()), Math.max(1, quantum.apply(team.name())));
+            }
+        }
+    }
+
+    private void create() {
+        Map<String, Long> guards = new LinkedHashMap<>(fence);
+        Map<String, Map<String, Object>> writes = new LinkedHashMap<>();
+        for (Settings.Team team : settings.teams().values()) {
+            if (mirror.get(Keys.quota(team.name())) == null && writes.size() < settings.txnOps()) {
+                guards.put(Keys.quota(team.name()), 0L);
+                writes.put(Keys.quota(team.name()), QuotaRecord.split(team.cpusMax(), team.gpusMax(), parts).write());
+            }
+        }
+        if (!writes.isEmpty() && !creating) {
+            creating = out.state(new StateOp.Multi(guards, writes), reply -> {
+                creating = false;
+                if (reply.status() == 200) {
+                    long revision = ((Number) reply.body().get("ledger")).longValue();
+                    writes.forEach((key, value) -> mirror.apply(key, value, revision));
+                }
+            });
+        }
+    }
+
+    private void weigh(Settings.Team team, double used, Claim[] claims, double quantum) {
+        QuotaRecord stored = stored(team.name());
+        Give open = giving.get(team.name());
+        if (open != null && mirror.version(Keys.quota(team.name())) == open.version) {
+            // Its fate is open: the same write again goes through, or the record has changed.
+            send(team.name(), open);
+            return;
+        }
+        giving.remove(team.name());
+        double[] targets = targets(team.cpusMax(), claims, stored.cpus(), quantum);
+        target.put(team.name(), targets[n]);
+        double spare = Math.floor((stored.cpus()[n] - Math.max(used, targets[n])) / quantum) * quantum;
+        if (spare < quantum) {
+            return;
+        }
+        double[] cpus = stored.cpus().clone();
+        double[] gpus = stored.gpus().clone();
+        int to = -1;
+        for (int m = 0; m < parts; m++) {
+            if (m != n && claims[m] != null && targets[m] - cpus[m] >= quantum && (to < 0 || targets[m] - cpus[m] > targets[to] - cpus[to])) {
+                to = m;
+            }
+        }
+        if (to < 0) {
+            return;
+        }
+        double amount = Math.min(spare, targets[to] - cpus[to]);
+        cpus[n] -= amount;
+        cpus[to] += amount;
+        // GPUs follow the CPUs in proportion; a team without any has none to give.
+        double moved = stored.cpus()[n] <= 0 ? 0 : Math.floor(gpus[n] * amount / stored.cpus()[n]);
+        gpus[n] -= moved;
+        gpus[to] += moved;
+        Give give = new Give(mirror.version(Keys.quota(team.name())), new QuotaRecord(cpus, gpus));
+        giving.put(team.name(), give);
+        send(team.name(), give);
+    }
+
+    private void send(String team, Give give) {
+        Map<String, Long> guards = new LinkedHashMap<>(fence);
+        guards.put(Keys.quota(team), give.version);
+        Map<String, Object> value = give.record.write();
+        boolean sent = out.state(new StateOp.Multi(guards, Map.of(Keys.quota(team), value)), reply -> {
+            inFlight.remove(team);
+            if (reply.status() == 200) {
+                giving.remove(team);
+                mirror.apply(Keys.quota(team), value, ((Number) reply.body().get("ledger")).longValue());
+            }
+        });
+        if (sent) {
+            inFlight.add(team);
+        }
+    }
+
+    /** How a limit should be shared: pressing claims first, then the others, what is left evenly. */
+    static double[] targets(double max, Claim[] claims, double[] shares, double quantum) {
+        int parts = shares.length;
+        double[] out = new double[parts];
+        double left = max;
+        // A part that says nothing keeps its share: nobody else may use it anyway.
+        for (int m = 0; m < parts; m++) {
+            if (claims[m] == null) {
+                out[m] = shares[m];
+                left -= shares[m];
+            }
+        }
+        for (int level = 0; level < 2; level++) {
+            double sum = 0;
+            for (Claim c : claims) {
+                sum += c == null ? 0 : level == 0 ? c.urgent() : c.other();
+            }
+            double ratio = sum <= 0 ? 0 : Math.min(1, Math.max(0, left) / sum);
+            for (int m = 0; m < parts; m++) {
+                if (claims[m] != null) {
+                    double wanted = (level == 0 ? claims[m].urgent() : claims[m].other()) * ratio;
+                    out[m] += wanted;
+                }
+            }
+            left -= sum * ratio;
+        }
+        long told = Arrays.stream(claims).filter(c -> c != null).count();
+        for (int m = 0; m < parts; m++) {
+            if (claims[m] != null) {
+                out[m] = Math.floor((out[m] + Math.max(0, left) / told) / quantum + 0.5) * quantum;
+            }
+        }
+        return out;
+    }
+}
--- a/src/main/java/org/shoreusher/core/UserDesk.java
+++ b/src/main/java/org/shoreusher/core/UserDesk.java
@@ -9,7 +9,7 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.function.Consumer;
-import java.util.function.IntSupplier;
+import java.util.function.ToIntFunction;
 import org.shoreusher.core.Command.StateReply;
 import org.shoreusher.core.Effect.StateOp;
 import org.shoreusher.core.Keys.JobRecord;
@@ -45,14 +45,14 @@
     private final Mirror mirror;
     private final Types types;
     private final CountSource counts;
-    private final IntSupplier roomiestPart;
+    private final ToIntFunction<JobSpec> roomiestPart;
     /** Done jobs, dropped from the mirror; a cache because the store has them for ever. */
     private final Cache<String, JobRecord> done = Caffeine.newBuilder().maximumSize(Tuning.FINAL_STATES).executor(Runnable::run).build();
     private final List<Question> questions = new ArrayList<>();
     private int readsInFlight;
     private int working;
 
-    UserDesk(Settings settings, Outbox out, Mirror mirror, Types types, CountSource counts, IntSupplier roomiestPart) {
+    UserDesk(Settings settings, Outbox out, Mirror mirror, Types types, CountSource counts, ToIntFunction<JobSpec> roomiestPart) {
         this.settings = settings;
         this.out = out;
         this.mirror = mirror;
@@ -128,7 +128,7 @@
     }
 
     private void accept(long request, JobSpec spec) {
-        int part = roomiestPart.getAsInt();
+        int part = roomiestPart.applyAsInt(spec);
         Map<String, Map<String, Object>> writes = new LinkedHashMap<>();
         writes.put(Keys.job(spec.id()), JobRecord.open(part, spec, out.now.wallMs()).write());
         writes.put(Keys.open(part, spec.id()), Map.of());
--- a/src/main/java/org/shoreusher/peer/HintCodec.java
+++ b/src/main/java/org/shoreusher/peer/HintCodec.java
@@ -8,6 +8,8 @@
 import java.util.HashMap;
 import java.util.Map;
 import org.shoreusher.core.Hint;
+import org.shoreusher.core.Hint.Claim;
+import org.shoreusher.core.Hint.PartHint;
 
 /** Hints in Kryo's form. Only the registered classes are read, so bytes from elsewhere build nothing else. */
 public final class HintCodec {
@@ -44,10 +46,19 @@
         public void write(Kryo kryo, Output out, Hint h) {
             out.writeString(h.from());
             out.writeBoolean(h.stateOk());
-            out.writeVarInt(h.room().size(), true);
-            h.room().forEach((part, room) -> {
-                out.writeVarInt(part, true);
-                out.writeDouble(room);
+            out.writeDouble(h.upS());
+            out.writeVarInt(h.parts().size(), true);
+            h.parts().forEach((n, part) -> {
+                out.writeVarInt(n, true);
+                out.writeDouble(part.room());
+                out.writeVarInt(part.idle(), true);
+                out.writeVarInt(part.lacks(), true);
+                out.writeVarInt(part.claims().size(), true);
+                part.claims().forEach((team, claim) -> {
+                    out.writeString(team);
+                    out.writeDouble(claim.urgent());
+                    out.writeDouble(claim.other());
+                });
             });
             counts(out, h.running());
             counts(out, h.done());
@@ -64,15 +75,24 @@
         @Override
         public Hint read(Kryo kryo, Input in, Class<? extends Hint> type) {
             String from = in.readString();
+            if (from == null) {
+                throw new KryoException("a hint without sender");
+            }
             boolean stateOk = in.readBoolean();
-            Map<Integer, Double> room = new HashMap<>();
+            double upS = in.readDouble();
+            Map<Integer, PartHint> parts = new HashMap<>();
             for (int i = entries(in); i > 0; i--) {
-                room.put(in.readVarInt(true), in.readDouble());
+                parts.put(in.readVarInt(true), new PartHint(in.readDouble(), in.readVarInt(true), in.readVarInt(true), claims(in)));
             }
-            if (from == null) {
-                throw new KryoException("a hint without sender");
+            return new Hint(from, stateOk, upS, parts, counts(in), counts(in));
+        }
+
+        private static Map<String, Claim> claims(Input in) {
+            Map<String, Claim> claims = new HashMap<>();
+            for (int i = entries(in); i > 0; i--) {
+                claims.put(in.readString(), new Claim(in.readDouble(), in.readDouble()));
             }
-            return new Hint(from, stateOk, room, counts(in), counts(in));
+            return claims;
         }
 
         private static Map<String, Integer> counts(Input in) {
--- a/src/main/java/org/shoreusher/settings/Tuning.java
+++ b/src/main/java/org/shoreusher/settings/Tuning.java
@@ -23,12 +23,22 @@
     public static final long VIEW_STALE_MS = 9_000;
     /** ms; wait between two attempts to take a part, and per part already held. */
     public static final long TAKE_PAUSE_MS = 700;
+    /** ms; wait after a takeover that another one came before; the view needs about this long to show it. */
+    public static final long TAKE_AGAIN_MS = 100;
     /** ms; what a silent machine's tasks are kept beyond the arithmetic bound. */
     public static final long SILENT_MARGIN_MS = 500;
     /** share of the value limit that one record of finished tasks may fill; the rest is slack. */
     public static final double RECORD_FILL = 0.75;
     /** number of parts; see docs/design.md for the figures behind it. */
-    public static final int PARTS = 1;
+    public static final int PARTS = 3;
+    /** ms; how often a node looks whether it holds two parts more than another. */
+    public static final long DEAL_EVERY_MS = 5_000;
+    /** s; a peer that is up for less gets no part dealt; it may be in a rolling restart. */
+    public static final double DEAL_TO_UP_S = 10;
+    /** ms; how often shares of team limits are weighed. */
+    public static final long QUOTA_EVERY_MS = 500;
+    /** ms; a machine must have been idle for so long before it is handed to another part. */
+    public static final long HANDOVER_IDLE_MS = 1_000;
 
     // ---- state service -----------------------------------------------------------------------
     /** ms; a watch blocks this long, so the view's age is known to about this. */
@@ -43,6 +53,8 @@
     public static final double RATE_USE = 0.9;
     /** share of a node's state tokens set aside for heartbeats. */
     public static final double RENEWAL_SHARE = 0.1;
+    /** share of the write rate for owners' background work; users' writes have a third each node. */
+    public static final double OWNER_WRITE_SHARE = 0.6;
     /** entries per page when the store is read; the service's own bound is 1,000. */
     public static final int PAGE = 500;
     /** ms; a node without a state answer for so long is not ready, so users go elsewhere. */
@@ -153,7 +165,7 @@
     /** ms; the core's tick. */
     public static final long TICK_MS = 50;
     /** ms; how often peers are told hints. */
-    public static final long HINT_MS = 1_000;
+    public static final long HINT_MS = 500;
     /** ms; a hint older than this is not used. */
     public static final long HINT_STALE_MS = 5_000;
 }
--- a/src/test/java/org/shoreusher/model/ClusterModelTest.java
+++ b/src/test/java/org/shoreusher/model/ClusterModelTest.java
@@ -22,7 +22,7 @@
  * take one guard away each, and expect the checks to notice.
  */
 class ClusterModelTest {
-    private static final long END_MS = 260_000;
+    private static final long END_MS = 400_000;
 
     static Settings settings() {
         Map<String, Settings.Team> teams = Map.of("team-0", new Settings.Team("team-0", 16, 24, 0, 0), "team-1", new Settings.Team("team-1", 8, 16, 0, 0));
@@ -32,7 +32,7 @@
     }
 
     private static World world(long seed, Sabotage sabotage, List<Trouble> troubles) {
-        World w = new World(seed, settings(), sabotage);
+        World w = new World(seed, settings(), 1 + (int) (seed % 3), sabotage);
         for (int i = 0; i < 40; i++) {
             w.users.submit(i, 1_000 + w.random.nextInt(120_000));
         }
--- a/src/test/java/org/shoreusher/model/World.java
+++ b/src/test/java/org/shoreusher/model/World.java
@@ -38,6 +38,7 @@
     private final PriorityQueue<Event> events = new PriorityQueue<>(Comparator.comparingLong(Event::at).thenComparingLong(Event::order));
     final Random random;
     final Settings settings;
+    private final int parts;
     final Sabotage sabotage;
     final StateModel state;
     final CloudModel cloud;
@@ -50,7 +51,8 @@
     private long orders;
     long now;
 
-    World(long seed, Settings settings, Sabotage sabotage) {
+    World(long seed, Settings settings, int parts, Sabotage sabotage) {
+        this.parts = parts;
         random = new Random(seed);
         this.settings = settings;
         this.sabotage = sabotage;
@@ -132,7 +134,7 @@
         void start() {
             life++;
             wallOff = (long) ((random.nextDouble() * 2 - 1) * settings.clockOffMs());
-            node = new Node(settings, host + "/" + Long.toHexString(random.nextLong()));
+            node = new Node(settings, host + "/" + Long.toHexString(random.nextLong()), parts);
             queue.clear();
             waiting.clear();
             tick(life);
