--- a/src/main/java/org/shoreusher/core/Fleet.java
+++ b/src/main/java/org/shoreusher/core/Fleet.java
@@ -159,10 +159,11 @@
     private void handOver() {
         int to = part.neediest();
         int most = to < 0 ? 0 : part.lacksOf(to);
+        runEmpty(most);
         for (Machine m : new ArrayList<>(part.machines().values())) {
             if (m.state == Machine.State.HANDING && !m.handing) {
                 part.handOver(m, m.handTo);
-            } else if (most > 0 && spare.contains(m) && m.state == Machine.State.UP && m.recordedUsed && out.now.steadyMs() - m.idleSinceMs > Tuning.HANDOVER_IDLE_MS) {
+            } else if (most > 0 && (spare.contains(m) || (m.yielding && m.tasks.isEmpty())) && m.state == Machine.State.UP && m.recordedUsed && out.now.steadyMs() - m.idleSinceMs > Tuning.HANDOVER_IDLE_MS) {
                 if (part.handOver(m, to)) {
                     most--;
                     spare.remove(m);
@@ -171,6 +172,30 @@
         }
     }
 
+    /**
+     * Lets machines run empty when others lack machines and this part could do its work on fewer: tasks are
+     * never moved, so without this a part keeps many machines half full.
+     */
+    private void runEmpty(int lackedElsewhere) {
+        double free = 0;
+        double size = 0;
+        Machine least = null;
+        int yielding = 0;
+        for (Machine m : part.machines().values()) {
+            if (m.yielding) {
+                yielding++;
+                m.yielding = lackedElsewhere > 0;
+            } else if (part.available(m)) {
+                free += m.cpusFree();
+                size = Math.max(size, m.type.cpus());
+                least = least == null || m.cpusUsed < least.cpusUsed || (m.cpusUsed == least.cpusUsed && m.id.compareTo(least.id) < 0) ? m : least;
+            }
+        }
+        if (lackedElsewhere > yielding && lacks == 0 && least != null && free - least.cpusFree() > size * Tuning.YIELD_SLACK) {
+            least.yielding = true;
+        }
+    }
+
     /** How many tasks of a job should run at once, so that its work takes a part of the time it has. */
     private int wantedAtOnce(Job job) {
         double run = part.estimates().runS(job);
--- a/src/main/java/org/shoreusher/core/Machine.java
+++ b/src/main/java/org/shoreusher/core/Machine.java
@@ -43,6 +43,8 @@
     boolean recordedUsed;
     boolean recorded;
     boolean recording;
+    /** Given no more tasks, so that it runs empty and can be handed to a part that lacks machines. */
+    boolean yielding;
     /** Whether a handover is on its way, and to which part. */
     boolean handing;
     int handTo;
--- a/src/main/java/org/shoreusher/core/Part.java
+++ b/src/main/java/org/shoreusher/core/Part.java
@@ -162,7 +162,7 @@
 
     /** Whether a machine reports and may be given work. */
     boolean available(Machine m) {
-        return m.state == Machine.State.UP && m.heard && Double.isNaN(m.noticeS)
+        return m.state == Machine.State.UP && m.heard && !m.yielding && Double.isNaN(m.noticeS)
                 && out.now.steadyMs() - m.reportedAtMs < settings.reportS() * 1000 * Tuning.QUIET_REPORTS;
     }
 
--- a/src/main/java/org/shoreusher/settings/Tuning.java
+++ b/src/main/java/org/shoreusher/settings/Tuning.java
@@ -30,13 +30,15 @@
     /** share of the value limit that one record of finished tasks may fill; the rest is slack. */
     public static final double RECORD_FILL = 0.75;
     /** number of parts; see docs/design.md for the figures behind it. */
-    public static final int PARTS = 3;
+    public static final int PARTS = 1;
     /** ms; how often a node looks whether it holds two parts more than another. */
     public static final long DEAL_EVERY_MS = 5_000;
     /** s; a peer that is up for less gets no part dealt; it may be in a rolling restart. */
     public static final double DEAL_TO_UP_S = 10;
     /** ms; how often shares of team limits are weighed. */
     public static final long QUOTA_EVERY_MS = 500;
+    /** machines' worth of CPUs that must stay free when a machine is to run empty for another part. */
+    public static final double YIELD_SLACK = 0.5;
     /** ms; a machine must have been idle for so long before it is handed to another part. */
     public static final long HANDOVER_IDLE_MS = 1_000;
 
