--- a/src/main/java/org/shoreusher/core/Node.java
+++ b/src/main/java/org/shoreusher/core/Node.java
@@ -217,7 +217,9 @@
         double most = Double.NEGATIVE_INFINITY;
         for (int n = 0; n < parts.count(); n++) {
             PartHint hint = hint(n);
-            double room = (hint == null ? UNKNOWN_ROOM : hint.room()) - dealt[n];
+            Hint.Claim claim = hint == null ? null : hint.claims().get(spec.team());
+            // A team's jobs are best together: then its limit is not cut up.
+            double room = (hint == null ? UNKNOWN_ROOM : hint.room()) - dealt[n] + (claim == null ? 0 : Tuning.TOGETHER * (claim.urgent() + claim.other()));
             if (room > most) {
                 most = room;
                 best = n;
--- a/src/main/java/org/shoreusher/settings/Tuning.java
+++ b/src/main/java/org/shoreusher/settings/Tuning.java
@@ -30,7 +30,7 @@
     /** share of the value limit that one record of finished tasks may fill; the rest is slack. */
     public static final double RECORD_FILL = 0.75;
     /** number of parts; see docs/design.md for the figures behind it. */
-    public static final int PARTS = 1;
+    public static final int PARTS = 2;
     /** ms; how often a node looks whether it holds two parts more than another. */
     public static final long DEAL_EVERY_MS = 5_000;
     /** s; a peer that is up for less gets no part dealt; it may be in a rolling restart. */
@@ -39,6 +39,8 @@
     public static final long QUOTA_EVERY_MS = 500;
     /** machines' worth of CPUs that must stay free when a machine is to run empty for another part. */
     public static final double YIELD_SLACK = 0.5;
+    /** weight of a team's CPUs in a part when its next job is dealt out. */
+    public static final double TOGETHER = 3;
     /** ms; a machine must have been idle for so long before it is handed to another part. */
     public static final long HANDOVER_IDLE_MS = 1_000;
 
