--- a/src/main/java/org/shoreusher/core/Fleet.java
+++ b/src/main/java/org/shoreusher/core/Fleet.java
@@ -200,7 +200,10 @@
     private int wantedAtOnce(Job job) {
         double run = part.estimates().runS(job);
         double left = part.urgency().leftS(job, out.now.wallMs());
-        double horizon = Math.max(run, left == Double.MAX_VALUE ? Tuning.RENT_HORIZON_S : left * Tuning.RENT_TIME_SHARE);
+        MachineType type = cheapest(job.spec);
+        // What can't be through in time on a machine that has yet to boot gains nothing from haste.
+        boolean tooLate = type != null && left < type.bootS() + run;
+        double horizon = Math.max(run, left == Double.MAX_VALUE || tooLate ? Tuning.RENT_HORIZON_S : left * Tuning.RENT_TIME_SHARE);
         return (int) Math.ceil(job.waitingCount * Math.min(1, run / horizon));
     }
 
