--- a/src/main/java/org/shoreusher/core/Fleet.java
+++ b/src/main/java/org/shoreusher/core/Fleet.java
@@ -218,6 +218,9 @@
         for (String zone : type.zones()) {
             for (boolean spot : new boolean[] {true, false}) {
                 Kind kind = new Kind(type.name(), zone, spot);
+                if (!spot && spec.spot() && !worthOrdinary(type)) {
+                    continue;
+                }
                 if (spec.allows(type.name(), zone, spot) && refusedUntil.getLong(kind) <= out.now.steadyMs()) {
                     double rank = (spot ? 0 : 1_000) + slots.stream().filter(s -> s.zone.equals(zone)).count();
                     if (rank < bestRank) {
@@ -230,6 +233,11 @@
         return best;
     }
 
+    /** Ordinary machines cost a multiple of spot ones: for work that may use spot, only a long queue is worth it. */
+    private boolean worthOrdinary(MachineType type) {
+        return type.price() <= type.spotPrice() * Tuning.ORDINARY_FACTOR || lacks > part.machines().size() * Tuning.ORDINARY_QUEUE;
+    }
+
     private void rentAgain() {
         if (renting == null || rentInFlight || out.now.steadyMs() < rentAgainMs) {
             return;
@@ -298,7 +306,7 @@
     private void returnIdle(Set<Machine> needed) {
         for (Machine m : part.machines().values()) {
             if (m.state == Machine.State.UP && m.tasks.isEmpty() && !needed.contains(m) && m.idleSinceMs >= 0
-                    && out.now.steadyMs() - m.idleSinceMs > Tuning.IDLE_KEEP_MS) {
+                    && out.now.steadyMs() - m.idleSinceMs > (m.spot ? Tuning.IDLE_KEEP_MS : Tuning.IDLE_KEEP_ORDINARY_MS)) {
                 m.state = Machine.State.DRAINING;
             }
         }
--- a/src/main/java/org/shoreusher/settings/Tuning.java
+++ b/src/main/java/org/shoreusher/settings/Tuning.java
@@ -134,6 +134,12 @@
     public static final int RETURN_AT_ONCE = 100;
     /** ms; an idle machine is kept this long for work to come. */
     public static final long IDLE_KEEP_MS = 20_000;
+    /** ms; the same for an ordinary machine, which costs more to keep. */
+    public static final long IDLE_KEEP_ORDINARY_MS = 5_000;
+    /** times the spot price up to which an ordinary machine is as good as a spot one. */
+    public static final double ORDINARY_FACTOR = 1.5;
+    /** machines lacking, as a share of those there, above which dearer ordinary ones are rented too. */
+    public static final double ORDINARY_QUEUE = 0.5;
     /** ms; below this age a machine costs its minimum anyway (protocol: 60 s). */
     public static final long MIN_CHARGE_MS = 60_000;
     /** s; work without an aim in reach is rented for so that it takes about this long. */
