--- a/src/main/java/org/shoreusher/core/Fleet.java
+++ b/src/main/java/org/shoreusher/core/Fleet.java
@@ -254,6 +254,7 @@
         Kind kind = new Kind(rent.type(), rent.zone(), rent.spot());
         if (reply.status() == 200) {
             renting = null;
+            nextPlanMs = out.now.steadyMs();
             try {
                 List<String> names = CloudFormat.rented(new Tree(reply.body()));
                 out.log("rented: " + names.size() + " of " + rent.count() + " " + rent.type() + " in " + rent.zone() + (rent.spot() ? ", spot" : ", ordinary")
--- a/src/main/java/org/shoreusher/core/Node.java
+++ b/src/main/java/org/shoreusher/core/Node.java
@@ -196,7 +196,8 @@
 
     @Override
     public int before(int ownedCount) {
-        int before = 0;
+        // A peer that has not been heard of yet may be starting just now: one part each is left to it.
+        int before = ownedCount == 0 ? 0 : (int) settings.members().stream().filter(m -> !hints.containsKey(m.host()) || !fresh(hints.get(m.host()))).count();
         double up = (out.now.steadyMs() - startedMs) / 1000.0;
         for (Hint h : hints.values()) {
             if (fresh(h) && h.stateOk() && (h.parts().size() < ownedCount || (h.parts().size() == ownedCount && h.upS() < up))) {
