--- a/src/main/java/org/shoreusher/core/Urgency.java
+++ b/src/main/java/org/shoreusher/core/Urgency.java
@@ -6,7 +6,7 @@
 import org.shoreusher.settings.Tuning;
 
 /**
- * In which order jobs get machines. High priorities come first. Within a priority, jobs that can still
+ * In which order jobs get machines. High priorities come first; among them, and among the rest, jobs that can still
  * meet one of the users' aims come before those that can't, and the one whose last chance to start is
  * nearest comes first.
  */
@@ -71,9 +71,11 @@
             }
         }
         if (slack == Double.MAX_VALUE) {
-            slack = -ageS;
+            slack = Tuning.PATIENCE_S - ageS - needS;
         }
-        return new Rank(job, job.spec.priority().ordinal(), lateness, slack);
+        // Low jobs have aims with more time in them; side by side with normal ones each gets its turn in time.
+        int band = Math.min(job.spec.priority().ordinal(), JobSpec.Priority.NORMAL.ordinal());
+        return new Rank(job, band, lateness, slack);
     }
 
     /** Seconds that are left before the job must start to meet an aim; MAX_VALUE if the aim is not about it. */
--- a/src/main/java/org/shoreusher/settings/Tuning.java
+++ b/src/main/java/org/shoreusher/settings/Tuning.java
@@ -97,6 +97,8 @@
     // ---- policy ------------------------------------------------------------------------------
     /** weight of one finished task in the correction of its class's estimates. */
     public static final double ESTIMATE_WEIGHT = 0.05;
+    /** s; a job that no aim speaks of, or that has missed all, counts as if it had so long in all. */
+    public static final double PATIENCE_S = 600;
     /** s; no task is expected to run shorter. */
     public static final double LEAST_RUN_S = 1;
     /** s; from the decision to start a task to its running, image aside: about a report and a command. */
