--- a/src/main/java/org/shoreusher/core/Part.java
+++ b/src/main/java/org/shoreusher/core/Part.java
@@ -682,6 +682,14 @@
                 remove(live);
             }
         }
+        if (!Double.isNaN(m.noticeS)) {
+            // The cloud takes the machine soon: what can save its progress does so now and goes on elsewhere.
+            for (Live live : m.tasks.values()) {
+                if (live.job.spec.checkpointS() > 0 && live.state == Live.State.RUNNING && live.job.spec.saveS() < m.noticeS) {
+                    live.stopping = true;
+                }
+            }
+        }
         m.idleSinceMs = !m.tasks.isEmpty() ? -1 : m.idleSinceMs < 0 ? out.now.steadyMs() : m.idleSinceMs;
     }
 
