--- a/src/main/java/org/shoreusher/core/FinishedRecords.java
+++ b/src/main/java/org/shoreusher/core/FinishedRecords.java
@@ -29,16 +29,14 @@
     private FinishedRecords() {
     }
 
-    static FinishedRecords of(Collection<Job> jobs, Settings s, boolean loaded) {
+    static FinishedRecords of(Collection<Job> jobs, Settings s) {
         FinishedRecords r = new FinishedRecords();
         r.chunk(0);
-        if (loaded) {
-            int limit = (int) (s.valueBytes() * Tuning.RECORD_FILL);
-            r.assign(jobs, limit);
-            int[] used = new int[r.chunks.size()];
-            for (Job job : jobs) {
-                r.add(job, limit, used);
-            }
+        int limit = (int) (s.valueBytes() * Tuning.RECORD_FILL);
+        r.assign(jobs, limit);
+        int[] used = new int[r.chunks.size()];
+        for (Job job : jobs) {
+            r.add(job, limit, used);
         }
         return r;
     }
--- a/src/main/java/org/shoreusher/core/Fleet.java
+++ b/src/main/java/org/shoreusher/core/Fleet.java
@@ -162,9 +162,9 @@
         runEmpty(most);
         for (Machine m : new ArrayList<>(part.machines().values())) {
             if (m.state == Machine.State.HANDING && !m.handing) {
-                part.handOver(m, m.handTo);
+                part.records().handOver(m, m.handTo);
             } else if (most > 0 && (spare.contains(m) || (m.yielding && m.tasks.isEmpty())) && m.state == Machine.State.UP && m.recordedUsed && out.now.steadyMs() - m.idleSinceMs > Tuning.HANDOVER_IDLE_MS) {
-                if (part.handOver(m, to)) {
+                if (part.records().handOver(m, to)) {
                     most--;
                     spare.remove(m);
                 }
--- /dev/null
+++ b/src/main/java/org/shoreusher/core/Holding.java
@@ -0,0 +1,238 @@
+package org.shoreusher.core;
+
+import java.util.LinkedHashMap;
+import java.util.Map;
+import java.util.function.Supplier;
+import org.shoreusher.core.Command.StateReply;
+import org.shoreusher.core.Effect.StateOp;
+import org.shoreusher.core.Keys.PartRecord;
+import org.shoreusher.settings.Settings;
+import org.shoreusher.settings.Tuning;
+import org.shoreusher.wire.StateFormat;
+import org.shoreusher.wire.Tree;
+
+/**
+ * The hold on one part: its lease, its term, and the fence that guards every write for it. Once lost it
+ * is lost for good; a part taken again gets a new one.
+ */
+final class Holding {
+    private final int n;
+    private final Settings settings;
+    private final Outbox out;
+    private final Mirror mirror;
+    private final String owner;
+    private final PartLease lease;
+    private final long fenceVersion;
+    private final long takenAtMs;
+    private long recordVersion;
+    private long term;
+    private boolean lost;
+    private boolean renewing;
+    private boolean lapsedLogged;
+    private long nextRenewMs;
+
+    /**
+     * @param writtenAt when the takeover was sent
+     * @param version   the revision at which it was applied
+     */
+    Holding(int n, Settings settings, Outbox out, Mirror mirror, PartRecord record, Reading writtenAt, long version) {
+        this.n = n;
+        this.settings = settings;
+        this.out = out;
+        this.mirror = mirror;
+        owner = record.owner();
+        term = record.term();
+        fenceVersion = version;
+        recordVersion = version;
+        takenAtMs = out.now.steadyMs();
+        lease = new PartLease(settings);
+        lease.confirmed(record.expiryMs(), writtenAt);
+        nextRenewMs = writtenAt.steadyMs() + Tuning.HEARTBEAT_MS;
+    }
+
+    boolean lost() {
+        return lost;
+    }
+
+    /** Whether commands may be given and effects decided. */
+    boolean holds() {
+        return !lost && lease.holds(out.now);
+    }
+
+    /** Whether reports may at least be answered without commands. */
+    boolean keepsAlive() {
+        return !lost && lease.keepsAlive(out.now);
+    }
+
+    long term() {
+        return term;
+    }
+
+    /** The revision that the view must have reached to show all that earlier owners did. */
+    long takenRevision() {
+        return fenceVersion;
+    }
+
+    long takenAtMs() {
+        return takenAtMs;
+    }
+
+    Map<String, Long> fence() {
+        return Map.of(Keys.fence(n), fenceVersion);
+    }
+
+    /** Logs a lapse once. */
+    void watchLapse() {
+        if (!holds() && !lost && !lapsedLogged) {
+            lapsedLogged = true;
+            out.log("lapse: part " + n + " term " + term + ", lease not renewed in time");
+        }
+    }
+
+    /** Renews when it is due. {@code records}: the finished tasks to write, or null before they are loaded. */
+    void heartbeat(Supplier<FinishedRecords> finished) {
+        if (renewing || out.now.steadyMs() < nextRenewMs) {
+            return;
+        }
+        Reading sentAt = out.now;
+        long expiry = Math.max(lease.expiryWallMs(), sentAt.wallMs() + Tuning.LEASE_MS);
+        FinishedRecords records = finished.get();
+        Map<String, Map<String, Object>> writes = new LinkedHashMap<>();
+        PartRecord record = new PartRecord(owner, expiry, term, records == null ? doneInStore() : records.chunk(0));
+        writes.put(Keys.part(n), record.write());
+        for (int c = 1; records != null && c < records.chunks() && writes.size() < Math.min(settings.txnOps(), FinishedRecords.MOST_AT_ONCE); c++) {
+            if (!stored(Keys.done(n, c), records.chunk(c))) {
+                writes.put(Keys.done(n, c), Map.of("done", records.chunk(c)));
+            }
+        }
+        renewing = out.renewal(new StateOp.Multi(guards(Keys.part(n), recordVersion), writes), reply -> {
+            renewing = false;
+            renewed(reply, record, sentAt, records, writes);
+        });
+    }
+
+    private boolean stored(String key, Map<String, Object> done) {
+        Mirror.Entry known = mirror.get(key);
+        return known != null && done.equals(known.value().get("done"));
+    }
+
+    private Map<String, Object> doneInStore() {
+        return PartRecord.read(mirror.get(Keys.part(n)).value()).done();
+    }
+
+    /** Guards for a write on one key: its version, and the fence that dies with this ownership. */
+    Map<String, Long> guards(String key, long version) {
+        Map<String, Long> guards = new LinkedHashMap<>();
+        guards.put(Keys.fence(n), fenceVersion);
+        guards.put(key, version);
+        return guards;
+    }
+
+    private void renewed(StateReply reply, PartRecord record, Reading sentAt, FinishedRecords records, Map<String, Map<String, Object>> writes) {
+        if (lost) {
+            return;
+        }
+        if (reply.status() == 200) {
+            recordVersion = applied(reply, writes);
+            lease.confirmed(record.expiryMs(), sentAt);
+            nextRenewMs = sentAt.steadyMs() + Tuning.HEARTBEAT_MS;
+            if (lapsedLogged && holds()) {
+                lapsedLogged = false;
+                out.log("renewed: part " + n + " term " + term + " after a lapse, nobody had taken it");
+            }
+            if (records != null) {
+                records.markDurable(c -> c == 0 || stored(Keys.done(n, c), records.chunk(c)));
+            }
+            return;
+        }
+        nextRenewMs = out.now.steadyMs() + Tuning.HEARTBEAT_RETRY_MS;
+        if (reply.status() == 409) {
+            // Either somebody took the part, or an earlier renewal without an answer was applied.
+            renewing = out.renewal(new StateOp.Multi(Map.of(Keys.fence(n), fenceVersion), Map.of()), fence -> {
+                renewing = false;
+                if (fence.status() == 409) {
+                    lose("its fence has changed");
+                }
+            });
+            out.state(new StateOp.Get(Keys.part(n)), this::rereadRecord);
+        }
+    }
+
+    private void rereadRecord(StateReply reply) {
+        if (lost || reply.status() != 200) {
+            return;
+        }
+        try {
+            StateFormat.Entry e = StateFormat.entry(new Tree(reply.body()));
+            PartRecord record = PartRecord.read(e.value());
+            if (!record.owner().equals(owner)) {
+                lose("taken by " + record.owner());
+            } else if (e.version() > recordVersion) {
+                recordVersion = e.version();
+                term = Math.max(term, record.term());
+                lease.confirmed(record.expiryMs(), out.now);
+                nextRenewMs = out.now.steadyMs();
+            }
+        } catch (Tree.Missing x) {
+            out.log("state: part record not understood: " + x.getMessage());
+        }
+    }
+
+    /** A worker has seen a higher token than this part's term, so its answers would be dropped. */
+    void raise(long above) {
+        if (renewing || !holds()) {
+            return;
+        }
+        Mirror.Entry counter = mirror.get(Keys.TERM);
+        long counted = counter == null ? 0 : ((Number) counter.value().get("term")).longValue();
+        long next = Math.max(counted, above) + 1;
+        Map<String, Long> guards = guards(Keys.part(n), recordVersion);
+        guards.put(Keys.TERM, counter == null ? 0 : counter.version());
+        Map<String, Map<String, Object>> writes = new LinkedHashMap<>();
+        PartRecord record = new PartRecord(owner, lease.expiryWallMs(), next, doneInStore());
+        writes.put(Keys.part(n), record.write());
+        writes.put(Keys.TERM, Map.of("term", next));
+        renewing = out.renewal(new StateOp.Multi(guards, writes), reply -> {
+            renewing = false;
+            if (reply.status() == 200 && !lost) {
+                recordVersion = applied(reply, writes);
+                term = next;
+                out.log("term: part " + n + " raised to " + next + " for a worker that has seen " + above);
+            } else {
+                nextRenewMs = out.now.steadyMs();
+            }
+        });
+    }
+
+    /** The view shows a new record of this part. */
+    void recordChanged(PartRecord record) {
+        if (!record.owner().equals(owner)) {
+            lose("taken by " + record.owner());
+        }
+    }
+
+    /**
+     * Gives the part up so that another node can take it at once. This node acts for it no more from before the
+     * write is sent; if the write is lost, the lease runs out as after a crash.
+     */
+    void release(Map<String, Object> done) {
+        PartRecord record = new PartRecord(owner, 0, term, done);
+        if (out.renewal(new StateOp.Multi(guards(Keys.part(n), recordVersion), Map.of(Keys.part(n), record.write())), reply -> { })) {
+            lose("released for a node that holds fewer");
+        }
+    }
+
+    private void lose(String why) {
+        if (!lost) {
+            lost = true;
+            out.log("lost: part " + n + " term " + term + ", " + why);
+        }
+    }
+
+    /** Puts an own write into the view; returns its revision. */
+    long applied(StateReply reply, Map<String, Map<String, Object>> writes) {
+        long revision = ((Number) reply.body().get("ledger")).longValue();
+        writes.forEach((key, value) -> mirror.apply(key, value, revision));
+        return revision;
+    }
+}
--- a/src/main/java/org/shoreusher/core/Part.java
+++ b/src/main/java/org/shoreusher/core/Part.java
@@ -11,7 +11,6 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
-import org.shoreusher.core.Command.StateReply;
 import org.shoreusher.core.Effect.StateOp;
 import org.shoreusher.core.Hint.Claim;
 import org.shoreusher.core.Hint.PartHint;
@@ -24,8 +23,6 @@
 import org.shoreusher.core.WorkerReport.TaskState;
 import org.shoreusher.settings.Settings;
 import org.shoreusher.settings.Tuning;
-import org.shoreusher.wire.StateFormat;
-import org.shoreusher.wire.Tree;
 import org.shoreusher.wire.WorkerFormat;
 
 /**
@@ -51,10 +48,7 @@
     private final Outbox out;
     private final Mirror mirror;
     private final Types types;
-    private final String owner;
-    private final PartLease lease;
-    private final long takenAtMs;
-    private final long takenRevision;
+    private final Holding holding;
     private final Fleet fleet;
     private final Estimates estimates = new Estimates();
     private final Urgency urgency;
@@ -62,16 +56,8 @@
     private final Object2ObjectOpenHashMap<String, Machine> machines = new Object2ObjectOpenHashMap<>();
     private final Object2DoubleOpenHashMap<String> teamCpus = new Object2DoubleOpenHashMap<>();
     private final Object2DoubleOpenHashMap<String> teamGpus = new Object2DoubleOpenHashMap<>();
-    private final ObjectOpenHashSet<String> dirtyMachines = new ObjectOpenHashSet<>();
-    private final long fenceVersion;
-    private long recordVersion;
-    private long term;
+    private final MachineRecords records;
     private long nextAttempt = 1;
-    private boolean lost;
-    private boolean renewing;
-    private boolean recording;
-    private boolean lapsedLogged;
-    private long nextRenewMs;
     private boolean loaded;
     private boolean rebuilt;
     /** What machines that are not yet heard may hold, of any team. */
@@ -80,11 +66,7 @@
     private long nextStatusMs;
     private long nextPreemptMs;
 
-    /**
-     * @param writtenAt when the takeover was sent
-     * @param version   the revision at which it was applied
-     */
-    Part(int n, int parts, Settings settings, Outbox out, Mirror mirror, Types types, Others others, PartRecord record, Reading writtenAt, long version) {
+    Part(int n, int parts, Settings settings, Outbox out, Mirror mirror, Types types, Others others, Holding holding) {
         this.n = n;
         this.parts = parts;
         this.others = others;
@@ -92,32 +74,42 @@
         this.out = out;
         this.mirror = mirror;
         this.types = types;
-        this.owner = record.owner();
-        this.term = record.term();
-        this.fenceVersion = version;
-        this.recordVersion = version;
-        this.takenAtMs = out.now.steadyMs();
-        this.takenRevision = version;
-        this.quota = new Quota(n, parts, settings, out, mirror, Map.of(Keys.fence(n), version));
-        this.lease = new PartLease(settings);
-        this.lease.confirmed(record.expiryMs(), writtenAt);
-        this.nextRenewMs = writtenAt.steadyMs() + Tuning.HEARTBEAT_MS;
+        this.holding = holding;
+        this.quota = new Quota(n, parts, settings, out, mirror, holding.fence());
+        this.records = new MachineRecords(n, settings, out, mirror, holding, machines);
         this.urgency = new Urgency(settings, estimates);
         this.fleet = new Fleet(this, settings, out, types);
     }
 
     // ---- views for others --------------------------------------------------------------------
 
+    MachineRecords records() {
+        return records;
+    }
+
+    Holding holding() {
+        return holding;
+    }
+
     boolean lost() {
-        return lost;
+        return holding.lost();
     }
 
     boolean holds() {
-        return !lost && lease.holds(out.now);
+        return holding.holds();
     }
 
     long term() {
-        return term;
+        return holding.term();
+    }
+
+    /** Gives the part up, for a node that holds fewer. */
+    void release() {
+        holding.release(finished().chunk(0));
+    }
+
+    private FinishedRecords finished() {
+        return FinishedRecords.of(jobs.values(), settings);
     }
 
     Estimates estimates() {
@@ -177,16 +169,13 @@
     // ---- time --------------------------------------------------------------------------------
 
     void step() {
-        if (lost) {
+        if (lost()) {
             return;
         }
-        if (!holds() && !lapsedLogged) {
-            lapsedLogged = true;
-            out.log("lapse: part " + n + " term " + term + ", lease not renewed in time");
-        }
-        heartbeat();
+        holding.watchLapse();
+        holding.heartbeat(() -> loaded ? finished() : null);
         if (!loaded) {
-            if (mirror.revision() < takenRevision || !types.known()) {
+            if (mirror.revision() < holding.takenRevision() || !types.known()) {
                 return;
             }
             load();
@@ -195,7 +184,7 @@
         if (!rebuilt) {
             rebuild();
         }
-        writeMachineRecords();
+        records.write();
         finishJobs();
         quota.step(team -> teamCpus.getDouble(team) + unknownCpus, this::claims, this::quantum);
         fleet.step();
@@ -292,129 +281,10 @@
         }
         Object2IntOpenHashMap<String> waiting = new Object2IntOpenHashMap<>();
         jobs.values().forEach(j -> waiting.addTo(j.spec.jobClass(), j.waitingCount));
-        return "status: part " + n + " term " + term + ", machines " + states[0] + " booting " + states[1] + " up " + (states[2] + states[3] + states[4]) + " leaving, CPUs "
+        return "status: part " + n + " term " + term() + ", machines " + states[0] + " booting " + states[1] + " up " + (states[2] + states[3] + states[4]) + " leaving, CPUs "
                 + used + " of " + all + ", " + jobs.size() + " jobs, waiting " + waiting;
     }
 
-    private void heartbeat() {
-        if (renewing || out.now.steadyMs() < nextRenewMs) {
-            return;
-        }
-        Reading sentAt = out.now;
-        long expiry = Math.max(lease.expiryWallMs(), sentAt.wallMs() + Tuning.LEASE_MS);
-        FinishedRecords records = FinishedRecords.of(jobs.values(), settings, loaded);
-        Map<String, Map<String, Object>> writes = new LinkedHashMap<>();
-        PartRecord record = new PartRecord(owner, expiry, term, loaded ? records.chunk(0) : doneInStore());
-        writes.put(Keys.part(n), record.write());
-        for (int c = 1; c < records.chunks() && writes.size() < Math.min(settings.txnOps(), FinishedRecords.MOST_AT_ONCE); c++) {
-            if (!stored(Keys.done(n, c), records.chunk(c))) {
-                writes.put(Keys.done(n, c), Map.of("done", records.chunk(c)));
-            }
-        }
-        renewing = out.renewal(new StateOp.Multi(guards(Keys.part(n), recordVersion), writes), reply -> {
-            renewing = false;
-            renewed(reply, record, sentAt, records, writes);
-        });
-    }
-
-    private boolean stored(String key, Map<String, Object> done) {
-        Mirror.Entry known = mirror.get(key);
-        return known != null && done.equals(known.value().get("done"));
-    }
-
-    private Map<String, Object> doneInStore() {
-        return PartRecord.read(mirror.get(Keys.part(n)).value()).done();
-    }
-
-    private Map<String, Long> guards(String key, long version) {
-        Map<String, Long> guards = new LinkedHashMap<>();
-        guards.put(Keys.fence(n), fenceVersion);
-        guards.put(key, version);
-        return guards;
-    }
-
-    private void renewed(StateReply reply, PartRecord record, Reading sentAt, FinishedRecords records, Map<String, Map<String, Object>> writes) {
-        if (lost) {
-            return;
-        }
-        if (reply.status() == 200) {
-            recordVersion = applied(reply, writes);
-            lease.confirmed(record.expiryMs(), sentAt);
-            nextRenewMs = sentAt.steadyMs() + Tuning.HEARTBEAT_MS;
-            if (lapsedLogged && holds()) {
-                lapsedLogged = false;
-                out.log("renewed: part " + n + " term " + term + " after a lapse, nobody had taken it");
-            }
-            if (loaded) {
-                records.markDurable(c -> c == 0 || stored(Keys.done(n, c), records.chunk(c)));
-            }
-            return;
-        }
-        nextRenewMs = out.now.steadyMs() + Tuning.HEARTBEAT_RETRY_MS;
-        if (reply.status() == 409) {
-            // Either somebody took the part, or an earlier renewal without an answer was applied.
-            renewing = out.renewal(new StateOp.Multi(Map.of(Keys.fence(n), fenceVersion), Map.of()), fence -> {
-                renewing = false;
-                if (fence.status() == 409) {
-                    lose("its fence has changed");
-                }
-            });
-            out.state(new StateOp.Get(Keys.part(n)), this::rereadRecord);
-        }
-    }
-
-    private void rereadRecord(StateReply reply) {
-        if (lost || reply.status() != 200) {
-            return;
-        }
-        try {
-            StateFormat.Entry e = StateFormat.entry(new Tree(reply.body()));
-            PartRecord record = PartRecord.read(e.value());
-            if (!record.owner().equals(owner)) {
-                lose("taken by " + record.owner());
-            } else if (e.version() > recordVersion) {
-                recordVersion = e.version();
-                term = Math.max(term, record.term());
-                lease.confirmed(record.expiryMs(), out.now);
-                nextRenewMs = out.now.steadyMs();
-            }
-        } catch (Tree.Missing x) {
-            out.log("state: part record not understood: " + x.getMessage());
-        }
-    }
-
-    /** The view shows a new record of this part. */
-    void recordChanged(PartRecord record) {
-        if (!record.owner().equals(owner)) {
-            lose("taken by " + record.owner());
-        }
-    }
-
-    /**
-     * Gives the part up so that another node can take it at once. This node acts for it no more from before the
-     * write is sent; if the write is lost, the lease runs out as after a crash.
-     */
-    void release() {
-        PartRecord record = new PartRecord(owner, 0, term, FinishedRecords.of(jobs.values(), settings, loaded).chunk(0));
-        if (out.renewal(new StateOp.Multi(guards(Keys.part(n), recordVersion), Map.of(Keys.part(n), record.write())), reply -> { })) {
-            lose("released for a node that holds fewer");
-        }
-    }
-
-    private void lose(String why) {
-        if (!lost) {
-            lost = true;
-            out.log("lost: part " + n + " term " + term + ", " + why);
-        }
-    }
-
-    /** Puts an own write into the view; returns its revision. */
-    private long applied(StateReply reply, Map<String, Map<String, Object>> writes) {
-        long revision = ((Number) reply.body().get("ledger")).longValue();
-        writes.forEach((key, value) -> mirror.apply(key, value, revision));
-        return revision;
-    }
-
     // ---- takeover ----------------------------------------------------------------------------
 
     private void load() {
@@ -462,7 +332,7 @@
         m.recordedUsed = record.used();
         m.recorded = true;
         // The owner before may have kept the worker's lease alive up to the end of its grace.
-        m.answeredAtMs = takenAtMs + PartLease.graceMs(settings);
+        m.answeredAtMs = holding.takenAtMs() + PartLease.graceMs(settings);
         machines.put(id, m);
         return m;
     }
@@ -493,8 +363,8 @@
                 }
             }
         }
-        out.log("rebuilt: part " + n + " term " + term + ", " + jobs.size() + " jobs, " + machines.size() + " machines, " + live + " tasks on them, after "
-                + (out.now.steadyMs() - takenAtMs) + " ms");
+        out.log("rebuilt: part " + n + " term " + term() + ", " + jobs.size() + " jobs, " + machines.size() + " machines, " + live + " tasks on them, after "
+                + (out.now.steadyMs() - holding.takenAtMs()) + " ms");
     }
 
     private boolean leaseEnded(Machine m) {
@@ -557,10 +427,10 @@
                 writes.put(Keys.job(job.id), JobRecord.read(entry.value()).ended(JobStatus.DONE).write());
                 writes.put(Keys.open(n, job.id), null);
                 // A refusal means that the user's cancellation came first; the view will show it.
-                job.finishing = out.state(new StateOp.Multi(guards(Keys.job(job.id), entry.version()), writes), reply -> {
+                job.finishing = out.state(new StateOp.Multi(holding.guards(Keys.job(job.id), entry.version()), writes), reply -> {
                     job.finishing = false;
                     if (reply.status() == 200) {
-                        applied(reply, writes);
+                        holding.applied(reply, writes);
                     }
                 });
                 if (!job.finishing) {
@@ -574,9 +444,9 @@
 
     /** Answers a report of a machine that belongs to this part, or to none yet. */
     void report(long request, WorkerReport r) {
-        if (lost || !loaded || !lease.keepsAlive(out.now) || r.token() > term) {
-            if (!lost && r.token() > term) {
-                raise(r.token());
+        if (lost() || !loaded || !holding.keepsAlive() || r.token() > term()) {
+            if (!lost() && r.token() > term()) {
+                holding.raise(r.token());
             }
             out.later(request);
             return;
@@ -600,34 +470,7 @@
             }
         }
         m.answeredAtMs = out.now.steadyMs();
-        out.answer(request, 200, WorkerFormat.answer(term, orders));
-    }
-
-    /** A worker has seen a higher token than this part's term, so its answers would be dropped. */
-    private void raise(long above) {
-        if (renewing || !holds()) {
-            return;
-        }
-        Mirror.Entry counter = mirror.get(Keys.TERM);
-        long counted = counter == null ? 0 : ((Number) counter.value().get("term")).longValue();
-        long next = Math.max(counted, above) + 1;
-        Map<String, Long> guards = guards(Keys.part(n), recordVersion);
-        guards.put(Keys.TERM, counter == null ? 0 : counter.version());
-        Map<String, Map<String, Object>> writes = new LinkedHashMap<>();
-        PartRecord record = new PartRecord(owner, lease.expiryWallMs(), next, doneInStore());
-        writes.put(Keys.part(n), record.write());
-        writes.put(Keys.TERM, Map.of("term", next));
-        renewing = out.renewal(new StateOp.Multi(guards, writes), reply -> {
-            renewing = false;
-            if (reply.status() == 200 && !lost) {
-                recordVersion = applied(reply, writes);
-                term = next;
-                nextAttempt = 1;
-                out.log("term: part " + n + " raised to " + next + " for a worker that has seen " + above);
-            } else {
-                nextRenewMs = out.now.steadyMs();
-            }
-        });
+        out.answer(request, 200, WorkerFormat.answer(term(), orders));
     }
 
     private Machine adopt(WorkerReport r) {
@@ -647,7 +490,7 @@
         Machine m = new Machine(id, type, zone, spot, rentedWallMs);
         m.answeredAtMs = out.now.steadyMs();
         machines.put(id, m);
-        dirtyMachines.add(id);
+        records.changed(id);
         return m;
     }
 
@@ -664,7 +507,7 @@
         }
         if (!m.used) {
             m.used = true;
-            dirtyMachines.add(m.id);
+            records.changed(m.id);
         }
         ObjectOpenHashSet<String> shown = new ObjectOpenHashSet<>();
         for (TaskReport t : r.tasks()) {
@@ -835,7 +678,7 @@
                 int index = -1;
                 for (int i = 0; i < p.count(); i++) {
                     index = p.job().waiting.nextSetBit(index + 1);
-                    Live live = new Live(p.job(), index, term << Tuning.ATTEMPT_BITS | nextAttempt++, m, Live.State.ASKED, out.now.steadyMs());
+                    Live live = new Live(p.job(), index, term() << Tuning.ATTEMPT_BITS | nextAttempt++, m, Live.State.ASKED, out.now.steadyMs());
                     add(live, true);
                     p.job().startedCount++;
                     orders.add(new WorkerOrder(WorkerOrder.Kind.START, p.job().id, index, live.attempt, 0));
@@ -894,7 +737,7 @@
         Machine m = live.machine;
         if (holds() && m.address != null && m.heard && out.now.steadyMs() - live.haltedAtMs > Tuning.HALT_AGAIN_MS) {
             live.haltedAtMs = out.now.steadyMs();
-            out.add(new Effect.Orders(m.address, term, m.session, List.of(stop(live, graceS))));
+            out.add(new Effect.Orders(m.address, term(), m.session, List.of(stop(live, graceS))));
         }
     }
 
@@ -914,7 +757,7 @@
         out.log("gone: " + m.id + " of part " + n + ", " + why);
         m.tasksNow().forEach(this::remove);
         machines.remove(m.id);
-        dirtyMachines.add(m.id);
+        records.changed(m.id);
     }
 
     /** The cloud says that the machine has stopped by itself, so nothing is on it. */
@@ -939,82 +782,4 @@
             machines.remove(id);
         }
     }
-
-    /**
-     * Hands an idle machine with nothing in flight to another part. From the moment the write is sent nothing
-     * starts on it; the write is repeated until it is done or the machine's record has changed.
-     */
-    boolean handOver(Machine m, int to) {
-        Map<String, Long> guards = guards(Keys.machine(m.id), mirror.version(Keys.machine(m.id)));
-        Map<String, Map<String, Object>> writes = Map.of(Keys.machine(m.id), new MachineRecord(to, m.type.name(), m.zone, m.spot, m.rentedWallMs, true).write());
-        boolean sent = out.state(new StateOp.Multi(guards, writes), reply -> {
-            m.handing = false;
-            if (lost) {
-                return;
-            }
-            if (reply.status() == 200) {
-                applied(reply, writes);
-                machines.remove(m.id);
-                out.log("handover: " + m.id + " from part " + n + " to part " + to);
-            }
-        });
-        if (sent) {
-            m.state = Machine.State.HANDING;
-            m.handing = true;
-            m.handTo = to;
-        }
-        return sent;
-    }
-
-    /** Records machines before their first start, and removes the records of those that are gone. */
-    private void writeMachineRecords() {
-        if (recording || dirtyMachines.isEmpty() || !holds()) {
-            return;
-        }
-        Map<String, Long> guards = new LinkedHashMap<>();
-        guards.put(Keys.fence(n), fenceVersion);
-        Map<String, Map<String, Object>> writes = new LinkedHashMap<>();
-        List<String> batch = new ArrayList<>();
-        for (String id : dirtyMachines) {
-            if (batch.size() >= Math.max(1, settings.txnOps() / 2)) {
-                break;
-            }
-            String key = Keys.machine(id);
-            Machine m = machines.get(id);
-            if (m != null || mirror.get(key) != null) {
-                guards.put(key, mirror.version(key));
-                writes.put(key, m == null ? null : new MachineRecord(n, m.type.name(), m.zone, m.spot, m.rentedWallMs, m.used).write());
-            }
-            batch.add(id);
-        }
-        batch.forEach(dirtyMachines::remove);
-        if (writes.isEmpty()) {
-            return;
-        }
-        recording = out.state(new StateOp.Multi(guards, writes), reply -> {
-            recording = false;
-            if (lost) {
-                return;
-            }
-            if (reply.status() == 200) {
-                applied(reply, writes);
-            }
-            for (String id : batch) {
-                Machine m = machines.get(id);
-                Mirror.Entry entry = mirror.get(Keys.machine(id));
-                MachineRecord record = entry == null ? null : MachineRecord.read(entry.value());
-                if (m == null ? record != null && record.part() == n : record == null || (record.part() == n && record.used() != m.used)) {
-                    dirtyMachines.add(id);
-                } else if (m != null && record.part() != n) {
-                    machines.remove(id);
-                } else if (m != null) {
-                    m.recorded = true;
-                    m.recordedUsed = record.used();
-                }
-            }
-        });
-        if (!recording) {
-            dirtyMachines.addAll(batch);
-        }
-    }
 }
--- a/src/main/java/org/shoreusher/core/Parts.java
+++ b/src/main/java/org/shoreusher/core/Parts.java
@@ -137,7 +137,7 @@
             taking = false;
             if (reply.status() == 200) {
                 long revision = ((Number) reply.body().get("ledger")).longValue();
-                owned[n] = new Part(n, owned.length, settings, out, mirror, types, peers, record, sentAt, revision);
+                owned[n] = new Part(n, owned.length, settings, out, mirror, types, peers, new Holding(n, settings, out, mirror, record, sentAt, revision));
                 writes.forEach((key, value) -> mirror.apply(key, value, revision));
                 nextTakeMs = out.now.steadyMs();
                 out.log("takeover: part " + n + " term " + term + (before == null ? ", new" : " from " + before.owner()));
@@ -152,7 +152,7 @@
     void recordChanged(int n, PartRecord record) {
         Part part = owned(n);
         if (part != null) {
-            part.recordChanged(record);
+            part.holding().recordChanged(record);
         }
     }
 }
--- /dev/null
+++ b/src/test/java/org/shoreusher/core/OwnerPiecesTest.java
@@ -0,0 +1,144 @@
+package org.shoreusher.core;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertNull;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.List;
+import java.util.Map;
+import java.util.Random;
+import net.jqwik.api.Example;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.constraints.IntRange;
+import net.jqwik.api.constraints.LongRange;
+import org.shoreusher.core.Command.StateReply;
+import org.shoreusher.core.Effect.StateOp;
+import org.shoreusher.core.Hint.Claim;
+import org.shoreusher.core.Keys.QuotaRecord;
+import org.shoreusher.settings.Settings;
+
+class OwnerPiecesTest {
+    private static Settings settings(List<Settings.Objective> objectives) {
+        Settings.Address nowhere = new Settings.Address("127.0.0.1", 1);
+        return new Settings("n", "a", nowhere, nowhere, List.of(), nowhere, nowhere, 3, List.of("a"), Map.of("team", new Settings.Team("team", 8, 16, 0, 0)),
+                objectives, 1, 10, 40, 1000, 1000, 1024, 12, 5, 3, 1000, 25);
+    }
+
+    private static Job job(String id, String jobClass, JobSpec.Priority priority, int tasks, double estimate, double deadline, long acceptedMs) {
+        Job job = new Job(id, new JobSpec(id, jobClass, "team", priority, tasks, 2, 0, 1, "i", 1, null, null, false, false, true, estimate, 0, 0, deadline), acceptedMs);
+        for (int i = 0; i < tasks; i++) {
+            job.setWaiting(i, true);
+        }
+        return job;
+    }
+
+    // ---- the view ------------------------------------------------------------------------------
+
+    /** Reads what the mirror asks for, and answers it. */
+    private static StateOp asked(Outbox out) {
+        return out.drain().stream().filter(e -> e instanceof Effect.StateCall).map(e -> ((Effect.StateCall) e).op()).findFirst().orElse(null);
+    }
+
+    /**
+     * A done job is dropped from the view by this node's own write; a watch answer from before that write must
+     * not bring it back as open, or its tasks would start again.
+     */
+    @Example
+    void oldNewsDoesNotBringADoneJobBack() {
+        Outbox out = new Outbox(settings(List.of()), 1);
+        List<String> seen = new ArrayList<>();
+        Mirror mirror = new Mirror(out, (key, before, after) -> seen.add(key));
+        out.now = new Reading(1_000, 1_000);
+        mirror.step();
+        assertTrue(asked(out) instanceof StateOp.Page);
+        out.replied(new StateReply(1, 200, Map.of("entries", List.of(), "more", false, "ledger", 5L)));
+        mirror.apply("job/wk-1", Map.of("status", "DONE"), 9);
+        mirror.evict("job/wk-1");
+        mirror.step();
+        assertEquals(new StateOp.Watch(5, 0), asked(out));
+        out.replied(new StateReply(2, 200, Map.of("ledger", 7L, "log", List.of(Map.of("write", "job/wk-1", "value", Map.of("status", "OPEN"), "stamp", 6L)))));
+        assertNull(mirror.get("job/wk-1"));
+        assertEquals(List.of("job/wk-1"), seen);
+        assertTrue(mirror.loaded());
+    }
+
+    // ---- shares of limits ----------------------------------------------------------------------
+
+    @Property(tries = 300, seed = "21")
+    void sharesSumToTheLimit(@ForAll @IntRange(max = 500) int limit, @ForAll @IntRange(min = 1, max = 5) int parts) {
+        QuotaRecord record = QuotaRecord.split(limit, 0, parts);
+        assertEquals(limit, Arrays.stream(record.cpus()).sum(), 1e-9);
+        assertTrue(Arrays.stream(record.cpus()).allMatch(c -> c >= 0));
+        QuotaRecord read = QuotaRecord.read(record.write(), parts);
+        assertTrue(Arrays.equals(record.cpus(), read.cpus()));
+        // Shares for another number of parts are worth nothing.
+        assertEquals(0, Arrays.stream(QuotaRecord.read(record.write(), parts + 1).cpus()).sum());
+    }
+
+    /** A part that says nothing keeps its share, and pressing claims come before others. */
+    @Property(tries = 300, seed = "22")
+    void targetsRespectSilenceAndUrgency(@ForAll @LongRange(min = 0) long seed) {
+        Random r = new Random(seed);
+        int parts = 2 + r.nextInt(2);
+        double[] shares = new double[parts];
+        Claim[] claims = new Claim[parts];
+        for (int m = 0; m < parts; m++) {
+            shares[m] = r.nextInt(40);
+            claims[m] = r.nextInt(4) == 0 ? null : new Claim(r.nextInt(30), r.nextInt(60));
+        }
+        double max = Arrays.stream(shares).sum();
+        double[] targets = Quota.targets(max, claims, shares, 1);
+        double urgent = Arrays.stream(claims).filter(c -> c != null).mapToDouble(Claim::urgent).sum();
+        double silent = 0;
+        for (int m = 0; m < parts; m++) {
+            silent += claims[m] == null ? shares[m] : 0;
+        }
+        for (int m = 0; m < parts; m++) {
+            assertTrue(claims[m] != null || targets[m] == shares[m]);
+            assertTrue(claims[m] == null || urgent > max - silent || targets[m] >= claims[m].urgent() - 0.5);
+        }
+        assertTrue(Arrays.stream(targets).sum() <= max + parts);
+    }
+
+    // ---- order ---------------------------------------------------------------------------------
+
+    @Example
+    void whatCanStillMeetItsAimComesBeforeWhatCannot() {
+        Settings s = settings(List.of(new Settings.Objective("deadline", "rush", Double.NaN, 0.9, 1), new Settings.Objective("finished", "slow", 200, 0.8, 1)));
+        Urgency urgency = new Urgency(s, new Estimates());
+        Job late = job("wk-1", "rush", JobSpec.Priority.NORMAL, 1, 30, 40, 0);
+        Job soon = job("wk-2", "rush", JobSpec.Priority.NORMAL, 1, 30, 100, 0);
+        Job relaxed = job("wk-3", "slow", JobSpec.Priority.LOW, 1, 30, Double.NaN, 0);
+        Job high = job("wk-4", "other", JobSpec.Priority.HIGH, 1, 30, Double.NaN, 0);
+        List<Job> jobs = new ArrayList<>(List.of(late, relaxed, soon, high));
+        urgency.sort(jobs, 30_000);
+        assertEquals(List.of("wk-4", "wk-2", "wk-3", "wk-1"), jobs.stream().map(j -> j.id).toList());
+    }
+
+    @Example
+    void estimatesFollowWhatIsObserved() {
+        Estimates estimates = new Estimates();
+        Job first = job("wk-1", "c", JobSpec.Priority.LOW, 5, 10, Double.NaN, 0);
+        for (int i = 0; i < 100; i++) {
+            estimates.observed(first, 20);
+        }
+        assertEquals(20, estimates.runS(first), 1e-9);
+        assertEquals(20, estimates.runS(job("wk-2", "c", JobSpec.Priority.LOW, 5, 10, Double.NaN, 0)), 0.2);
+        assertEquals(10, estimates.runS(job("wk-3", "d", JobSpec.Priority.LOW, 5, 10, Double.NaN, 0)), 1e-9);
+    }
+
+    /** A job whose tasks fail on every machine is told apart from a faulty machine. */
+    @Example
+    void aJobThatFailsEverywhereIsSuspectAndTriedRarely() {
+        Job job = job("wk-1", "c", JobSpec.Priority.LOW, 5, 10, Double.NaN, 0);
+        job.failed("m-1", 1_000);
+        assertTrue(!job.suspect() && !job.paused(1_000));
+        job.failed("m-2", 2_000);
+        assertTrue(job.suspect() && job.paused(2_500));
+        job.done.set(0);
+        assertTrue(!job.suspect());
+    }
+}
--- a/src/test/java/org/shoreusher/core/PiecesTest.java
+++ b/src/test/java/org/shoreusher/core/PiecesTest.java
@@ -155,7 +155,7 @@
             }
             jobs.add(job);
         }
-        FinishedRecords records = FinishedRecords.of(jobs, settings(0, 10, 40), true);
+        FinishedRecords records = FinishedRecords.of(jobs, settings(0, 10, 40));
         records.markDurable(c -> true);
         Map<String, BitSet> stored = new HashMap<>();
         for (int c = 0; c < records.chunks(); c++) {
--- a/src/test/java/org/shoreusher/model/WorkerModel.java
+++ b/src/test/java/org/shoreusher/model/WorkerModel.java
@@ -7,7 +7,6 @@
 import java.util.Map;
 import org.shoreusher.core.Command;
 import org.shoreusher.core.Effect;
-import org.shoreusher.core.WorkerOrder;
 import org.shoreusher.core.WorkerReport;
 import org.shoreusher.core.WorkerReport.Cause;
 import org.shoreusher.core.WorkerReport.TaskReport;
