--- a/src/main/java/org/shoreusher/core/Node.java
+++ b/src/main/java/org/shoreusher/core/Node.java
@@ -100,7 +100,12 @@
         if (!mirror.loaded() || !types.known()) {
             return false;
         }
-        return out.stateSilenceMs() < Tuning.READY_STATE_MS || hints.values().stream().noneMatch(h -> fresh(h) && h.stateOk());
+        return out.stateSilenceMs() < Tuning.READY_STATE_MS || !stateAnswersElsewhere();
+    }
+
+    @Override
+    public boolean stateAnswersElsewhere() {
+        return hints.values().stream().anyMatch(h -> fresh(h) && h.stateOk());
     }
 
     private boolean fresh(Hint h) {
--- a/src/main/java/org/shoreusher/core/Part.java
+++ b/src/main/java/org/shoreusher/core/Part.java
@@ -38,6 +38,9 @@
     interface Others {
         /** A part's fresh hint, or null. */
         PartHint hint(int part);
+
+        /** Whether a peer has lately said that the state service answers it. */
+        boolean stateAnswersElsewhere();
     }
 
     final int n;
@@ -444,7 +447,10 @@
 
     /** Answers a report of a machine that belongs to this part, or to none yet. */
     void report(long request, WorkerReport r) {
-        if (lost() || !loaded || !holding.keepsAlive() || r.token() > term()) {
+        // The grace after a lapse is for an outage that all share. If the state service answers another node, that
+        // one takes the part, and every answer given here would only keep the worker from it.
+        boolean mayAnswer = holds() || (holding.keepsAlive() && !others.stateAnswersElsewhere());
+        if (lost() || !loaded || !mayAnswer || r.token() > term()) {
             if (!lost() && r.token() > term()) {
                 holding.raise(r.token());
             }
--- a/src/test/java/org/shoreusher/model/ClusterModelTest.java
+++ b/src/test/java/org/shoreusher/model/ClusterModelTest.java
@@ -146,4 +146,19 @@
         assertEquals(List.of(), w.rules.violations);
         assertFalse(w.log.stream().anyMatch(l -> l.contains("lost its lease")), () -> String.join("\n", w.log));
     }
+
+    /** One node alone is refused by the state service: its part goes on elsewhere soon, not after its grace. */
+    @Example
+    void aNodeRefusedAloneSendsItsWorkersAway() {
+        World w = world(1, Sabotage.NONE, List.of(new Trouble(60_000, x -> x.processes.forEach(p -> {
+            if (x.log.stream().anyMatch(l -> l.contains(p.host + " takeover"))) {
+                x.state.refuse(p.host, 40_000);
+            }
+        }))));
+        assertEquals(List.of(), w.rules.violations);
+        List<Long> after = w.log.stream().filter(l -> l.contains("rebuilt")).map(l -> Long.parseLong(l.substring(0, l.indexOf(' ')))).filter(t -> t > 60_000).toList();
+        assertFalse(after.isEmpty(), () -> String.join("\n", w.log));
+        // Lease 9 s, at most a renewal just before, the taker's wait, and a round of reports from workers sent away.
+        assertTrue(after.get(0) < 60_000 + 16_000, () -> String.join("\n", w.log));
+    }
 }
