--- a/src/test/java/org/shoreusher/model/ClusterModelTest.java
+++ b/src/test/java/org/shoreusher/model/ClusterModelTest.java
@@ -161,4 +161,23 @@
         // Lease 9 s, at most a renewal just before, the taker's wait, and a round of reports from workers sent away.
         assertTrue(after.get(0) < 60_000 + 16_000, () -> String.join("\n", w.log));
     }
+
+    /**
+     * An owner loses the network: its workers must not hang there until their leases end, but wait with nodes that
+     * are there, so that the taker finds their tasks.
+     */
+    @Example
+    void workersOfACutOffOwnerAreThereForTheTaker() {
+        World w = world(4, Sabotage.NONE, List.of(new Trouble(60_000, x -> x.processes.forEach(p -> {
+            if (x.log.stream().anyMatch(l -> l.contains(p.host + " takeover"))) {
+                x.cut(p.host, "state", 60_000);
+                x.processes.forEach(other -> x.cut(p.host, other.host, 60_000));
+                x.cloud.machines().forEach(m -> x.cut(p.host, m.id, 60_000));
+            }
+        }))));
+        assertEquals(List.of(), w.rules.violations);
+        List<Long> after = w.log.stream().filter(l -> l.contains("rebuilt")).map(l -> Long.parseLong(l.substring(0, l.indexOf(' ')))).filter(t -> t > 60_000).toList();
+        assertFalse(after.isEmpty(), () -> String.join("\n", w.log));
+        assertTrue(after.get(0) < 60_000 + 13_000, () -> String.join("\n", w.log));
+    }
 }
