--- a/src/test/java/org/shoreusher/model/ClusterModelTest.java
+++ b/src/test/java/org/shoreusher/model/ClusterModelTest.java
@@ -168,7 +168,7 @@
      */
     @Example
     void workersOfACutOffOwnerAreThereForTheTaker() {
-        World w = world(4, Sabotage.NONE, List.of(new Trouble(60_000, x -> x.processes.forEach(p -> {
+        World w = world(6, Sabotage.NONE, List.of(new Trouble(60_000, x -> x.processes.forEach(p -> {
             if (x.log.stream().anyMatch(l -> l.contains(p.host + " takeover"))) {
                 x.cut(p.host, "state", 60_000);
                 x.processes.forEach(other -> x.cut(p.host, other.host, 60_000));
@@ -178,6 +178,7 @@
         assertEquals(List.of(), w.rules.violations);
         List<Long> after = w.log.stream().filter(l -> l.contains("rebuilt")).map(l -> Long.parseLong(l.substring(0, l.indexOf(' ')))).filter(t -> t > 60_000).toList();
         assertFalse(after.isEmpty(), () -> String.join("\n", w.log));
-        assertTrue(after.get(0) < 60_000 + 13_000, () -> String.join("\n", w.log));
+        // Takeover after 7 s and a round of reports at once; workers that hang at the lost owner make it 12 s.
+        assertTrue(after.get(0) < 60_000 + 9_500, () -> String.join("\n", w.log));
     }
 }
