--- a/src/main/java/org/shoreusher/core/FinishedRecords.java
+++ b/src/main/java/org/shoreusher/core/FinishedRecords.java
@@ -15,13 +15,6 @@
  * the part's own record, the others spill. A job keeps its chunk, so that a change touches one record.
  */
 final class FinishedRecords {
-    /** Records in one write, so that it stays below the 64 KiB of a transaction. */
-    static final int MOST_AT_ONCE = 8;
-    /** bytes that a job's name and framing take. */
-    private static final int FRAME = 24;
-    /** bytes per task that a job's ranges may take when every other task is finished. */
-    private static final int PER_TASK = 3;
-
     private final List<Map<String, Object>> chunks = new ArrayList<>();
     private final List<Job> jobs = new ArrayList<>();
     private final List<BitSet> written = new ArrayList<>();
@@ -72,7 +65,7 @@
     }
 
     private static int worst(Job job, int limit) {
-        return Math.min(limit, FRAME + job.spec.tasks() * PER_TASK);
+        return Math.min(limit, Tuning.RECORD_FRAME + job.spec.tasks() * Tuning.RECORD_PER_TASK);
     }
 
     private void add(Job job, int limit, int[] used) {
@@ -82,11 +75,11 @@
         BitSet set = (BitSet) job.done.clone();
         String text = TaskRanges.format(set);
         // What does not fit stays unrecorded, hence unforgotten by its worker, until ranges merge.
-        while (used[job.chunk] + FRAME + text.length() > limit && !set.isEmpty()) {
+        while (used[job.chunk] + Tuning.RECORD_FRAME + text.length() > limit && !set.isEmpty()) {
             set.clear(set.length() / 2, set.length());
             text = TaskRanges.format(set);
         }
-        used[job.chunk] += FRAME + text.length();
+        used[job.chunk] += Tuning.RECORD_FRAME + text.length();
         chunks.get(job.chunk).put(job.id, text);
         jobs.add(job);
         written.add(set);
--- a/src/main/java/org/shoreusher/core/Holding.java
+++ b/src/main/java/org/shoreusher/core/Holding.java
@@ -107,7 +107,7 @@
         Map<String, Map<String, Object>> writes = new LinkedHashMap<>();
         PartRecord record = new PartRecord(owner, expiry, term, records == null ? doneInStore() : records.chunk(0));
         writes.put(Keys.part(n), record.write());
-        for (int c = 1; records != null && c < records.chunks() && writes.size() < Math.min(settings.txnOps(), FinishedRecords.MOST_AT_ONCE); c++) {
+        for (int c = 1; records != null && c < records.chunks() && writes.size() < Math.min(settings.txnOps(), Tuning.RECORDS_AT_ONCE); c++) {
             if (!stored(Keys.done(n, c), records.chunk(c))) {
                 writes.put(Keys.done(n, c), Map.of("done", records.chunk(c)));
             }
--- a/src/main/java/org/shoreusher/core/Job.java
+++ b/src/main/java/org/shoreusher/core/Job.java
@@ -79,9 +79,4 @@
     boolean suspect() {
         return done.isEmpty() && failedOn.size() > 1;
     }
-
-    /** Seconds until the deadline at the given time of day; large without one. */
-    double slackS(long wallMs) {
-        return Double.isNaN(spec.deadlineS()) ? Double.MAX_VALUE : spec.deadlineS() - (wallMs - acceptedMs) / 1000.0;
-    }
 }
--- a/src/main/java/org/shoreusher/core/Node.java
+++ b/src/main/java/org/shoreusher/core/Node.java
@@ -20,8 +20,6 @@
  * random, so the same batches give the same effects.
  */
 public final class Node implements Parts.Peers {
-    /** CPUs; a part of which nothing is heard gets jobs only if all others are far behind. */
-    private static final double UNKNOWN_ROOM = -1_000;
 
     private final Settings settings;
     private final Outbox out;
@@ -251,7 +249,7 @@
             PartHint hint = hint(n);
             Hint.Claim claim = hint == null ? null : hint.claims().get(spec.team());
             // A team's jobs are best together: then its limit is not cut up.
-            double room = (hint == null ? UNKNOWN_ROOM : hint.room()) - dealt[n] + (claim == null ? 0 : Tuning.TOGETHER * (claim.urgent() + claim.other()));
+            double room = (hint == null ? Tuning.UNKNOWN_ROOM : hint.room()) - dealt[n] + (claim == null ? 0 : Tuning.TOGETHER * (claim.urgent() + claim.other()));
             if (room > most) {
                 most = room;
                 best = n;
--- a/src/main/java/org/shoreusher/core/Planner.java
+++ b/src/main/java/org/shoreusher/core/Planner.java
@@ -14,8 +14,6 @@
  * starts travel only in answers to reports.
  */
 final class Planner {
-    private static final double EPSILON = 1e-9;
-
     /** A machine's room while a plan is made. */
     static final class Slot {
         final Machine machine;
@@ -42,9 +40,9 @@
 
         int fits(JobSpec job) {
             double n = Integer.MAX_VALUE;
-            n = job.cpus() > 0 ? Math.min(n, Math.floor(cpus / job.cpus() + EPSILON)) : n;
-            n = job.gpus() > 0 ? Math.min(n, Math.floor(gpus / job.gpus() + EPSILON)) : n;
-            n = job.memGb() > 0 ? Math.min(n, Math.floor(mem / job.memGb() + EPSILON)) : n;
+            n = job.cpus() > 0 ? Math.min(n, Math.floor(cpus / job.cpus() + Tuning.EPSILON)) : n;
+            n = job.gpus() > 0 ? Math.min(n, Math.floor(gpus / job.gpus() + Tuning.EPSILON)) : n;
+            n = job.memGb() > 0 ? Math.min(n, Math.floor(mem / job.memGb() + Tuning.EPSILON)) : n;
             return (int) Math.max(0, n);
         }
 
@@ -80,10 +78,10 @@
     int allowedByTeam(JobSpec job) {
         double n = Integer.MAX_VALUE;
         if (job.cpus() > 0) {
-            n = Math.min(n, Math.floor((cpusLeft.applyAsDouble(job.team()) - cpusPlanned.getDouble(job.team())) / job.cpus() + EPSILON));
+            n = Math.min(n, Math.floor((cpusLeft.applyAsDouble(job.team()) - cpusPlanned.getDouble(job.team())) / job.cpus() + Tuning.EPSILON));
         }
         if (job.gpus() > 0) {
-            n = Math.min(n, Math.floor((gpusLeft.applyAsDouble(job.team()) - gpusPlanned.getDouble(job.team())) / job.gpus() + EPSILON));
+            n = Math.min(n, Math.floor((gpusLeft.applyAsDouble(job.team()) - gpusPlanned.getDouble(job.team())) / job.gpus() + Tuning.EPSILON));
         }
         return (int) Math.max(0, n);
     }
--- a/src/main/java/org/shoreusher/peer/HintCodec.java
+++ b/src/main/java/org/shoreusher/peer/HintCodec.java
@@ -1,5 +1,6 @@
 package org.shoreusher.peer;
 
+import org.shoreusher.settings.Tuning;
 import com.esotericsoftware.kryo.Kryo;
 import com.esotericsoftware.kryo.KryoException;
 import com.esotericsoftware.kryo.Serializer;
@@ -13,11 +14,6 @@
 
 /** Hints in Kryo's form. Only the registered classes are read, so bytes from elsewhere build nothing else. */
 public final class HintCodec {
-    /** bytes; a longer hint is refused. */
-    public static final int MOST = 256 * 1024;
-    /** entries; a map said to be longer is refused before it is built. */
-    private static final int MOST_ENTRIES = 10_000;
-
     private final Kryo kryo = new Kryo();
 
     public HintCodec() {
@@ -27,7 +23,7 @@
     }
 
     public byte[] write(Hint hint) {
-        Output out = new Output(512, MOST);
+        Output out = new Output(Tuning.HINT_BUFFER, Tuning.MAX_HINT);
         kryo.writeObject(out, hint);
         return out.toBytes();
     }
@@ -105,7 +101,7 @@
 
         private static int entries(Input in) {
             int n = in.readVarInt(true);
-            if (n < 0 || n > MOST_ENTRIES) {
+            if (n < 0 || n > Tuning.MOST_HINT_ENTRIES) {
                 throw new KryoException("too many entries");
             }
             return n;
--- a/src/main/java/org/shoreusher/peer/Peers.java
+++ b/src/main/java/org/shoreusher/peer/Peers.java
@@ -47,7 +47,7 @@
                     @Override
                     protected void initChannel(SocketChannel ch) {
                         ch.pipeline().addLast(new ReadTimeoutHandler(Tuning.IDLE_CONNECTION_S),
-                                new LengthFieldBasedFrameDecoder(HintCodec.MOST, 0, 4, 0, 4), new Hearer());
+                                new LengthFieldBasedFrameDecoder(Tuning.MAX_HINT, 0, 4, 0, 4), new Hearer());
                     }
                 }).bind(settings.back().ip(), settings.back().port()).sync();
     }
--- a/src/main/java/org/shoreusher/settings/Tuning.java
+++ b/src/main/java/org/shoreusher/settings/Tuning.java
@@ -61,7 +61,13 @@
     public static final double RENEWAL_SHARE = 0.1;
     /** share of the write rate for owners' background work; users' writes have a third each node. */
     public static final double OWNER_WRITE_SHARE = 0.6;
-    /** entries per page when the store is read; the service's own bound is 1,000. */
+    /** records of finished tasks in one write, so that it stays below the 64 KiB of a transaction. */
+    public static final int RECORDS_AT_ONCE = 8;
+    /** bytes that a job's name and framing take in such a record. */
+    public static final int RECORD_FRAME = 24;
+    /** bytes per task that a job's ranges may take when every other task is finished. */
+    public static final int RECORD_PER_TASK = 3;
+    /** entries per page when the store or the machine list is read; the bounds are 1,000 and 500. */
     public static final int PAGE = 500;
     /** ms; a node without a state answer for so long is not ready, so users go elsewhere. */
     public static final long READY_STATE_MS = 4_500;
@@ -101,6 +107,10 @@
     public static final double ESTIMATE_WEIGHT = 0.05;
     /** s; a job that no aim speaks of, or that has missed all, counts as if it had so long in all. */
     public static final double PATIENCE_S = 600;
+    /** CPUs or GB; sums of decimal amounts are compared with this slack. */
+    public static final double EPSILON = 1e-9;
+    /** CPUs; a part of which nothing is heard gets jobs only if all others are far behind. */
+    public static final double UNKNOWN_ROOM = -1_000;
     /** s; no task is expected to run shorter. */
     public static final double LEAST_RUN_S = 1;
     /** s; from the decision to start a task to its running, image aside: about a report and a command. */
@@ -162,6 +172,18 @@
     public static final int IDLE_CONNECTION_S = 120;
     /** s; a request that is begun must be complete within this. */
     public static final int REQUEST_READ_S = 10;
+    /** levels; deeper messages are refused, and none of the protocol's goes beyond 5. */
+    public static final int MAX_DEPTH = 32;
+    /** connections that may wait to be accepted; a storm of reconnects comes within a second. */
+    public static final int BACKLOG = 256;
+    /** workers with kept connections for direct commands; more simply connect anew. */
+    public static final int WORKERS_KEPT = 64;
+    /** bytes; a longer hint of a peer is refused. */
+    public static final int MAX_HINT = 256 * 1024;
+    /** bytes; what the buffer of a hint begins with. */
+    public static final int HINT_BUFFER = 512;
+    /** entries; a map in a hint said to be longer is refused before it is built. */
+    public static final int MOST_HINT_ENTRIES = 10_000;
     /** sockets kept back from the front for the node's own calls. */
     public static final int OWN_SOCKETS = 100;
     /** ms; a connection attempt is given up after this. */
--- a/src/main/java/org/shoreusher/user/FrontServer.java
+++ b/src/main/java/org/shoreusher/user/FrontServer.java
@@ -53,7 +53,7 @@
     private final Settings settings;
     private final Predicate<Command> core;
     private final Long2ObjectOpenHashMap<Waiting> waiting = new Long2ObjectOpenHashMap<>();
-    private final Histogram userLatency = new Histogram(TimeUnit.SECONDS.toMicros(60), 2);
+    private final Histogram userLatency = new Histogram(TimeUnit.SECONDS.toMicros(Tuning.LATENCY_LINE_S), 2);
     private long nextRequest = 1;
     private int connections;
 
@@ -67,7 +67,7 @@
     /** Begins to listen. */
     public void listen() throws InterruptedException {
         new ServerBootstrap().group(loop).channel(NioServerSocketChannel.class).option(ChannelOption.SO_REUSEADDR, true)
-                .option(ChannelOption.SO_BACKLOG, 256).childOption(ChannelOption.TCP_NODELAY, true)
+                .option(ChannelOption.SO_BACKLOG, Tuning.BACKLOG).childOption(ChannelOption.TCP_NODELAY, true)
                 .childHandler(new ChannelInitializer<SocketChannel>() {
                     @Override
                     protected void initChannel(SocketChannel ch) {
--- a/src/main/java/org/shoreusher/wire/CloudFormat.java
+++ b/src/main/java/org/shoreusher/wire/CloudFormat.java
@@ -1,5 +1,6 @@
 package org.shoreusher.wire;
 
+import org.shoreusher.settings.Tuning;
 import java.util.ArrayList;
 import java.util.LinkedHashMap;
 import java.util.List;
@@ -11,8 +12,6 @@
 
 /** Requests to the cloud and their answers. */
 public final class CloudFormat {
-    private static final int PAGE = 500;
-
     private CloudFormat() {
     }
 
@@ -22,7 +21,7 @@
         }
         if (op instanceof CloudOp.Listing list) {
             String after = list.after() == null ? "" : "after=" + list.after() + "&";
-            return new StateFormat.Request("/rentals?" + after + "most=" + PAGE, null);
+            return new StateFormat.Request("/rentals?" + after + "most=" + Tuning.PAGE, null);
         }
         Map<String, Object> body = new LinkedHashMap<>();
         if (op instanceof CloudOp.Return back) {
--- a/src/main/java/org/shoreusher/wire/Tree.java
+++ b/src/main/java/org/shoreusher/wire/Tree.java
@@ -1,5 +1,6 @@
 package org.shoreusher.wire;
 
+import org.shoreusher.settings.Tuning;
 import com.fasterxml.jackson.core.JsonFactory;
 import com.fasterxml.jackson.core.JsonGenerator;
 import com.fasterxml.jackson.core.JsonParser;
@@ -19,12 +20,10 @@
  * start-up.
  */
 public final class Tree {
-    /** Deeper messages are refused; none of the protocol's goes beyond 5. */
-    private static final int DEPTH = 32;
     private static final CBORFactory CBOR = CBORFactory.builder()
-            .streamReadConstraints(StreamReadConstraints.builder().maxNestingDepth(DEPTH).build()).build();
+            .streamReadConstraints(StreamReadConstraints.builder().maxNestingDepth(Tuning.MAX_DEPTH).build()).build();
     private static final JsonFactory JSON = JsonFactory.builder()
-            .streamReadConstraints(StreamReadConstraints.builder().maxNestingDepth(DEPTH).build()).build();
+            .streamReadConstraints(StreamReadConstraints.builder().maxNestingDepth(Tuning.MAX_DEPTH).build()).build();
 
     /** A field that is missing or not of its kind. */
     public static final class Missing extends Exception {
--- a/src/main/java/org/shoreusher/worker/WorkerClient.java
+++ b/src/main/java/org/shoreusher/worker/WorkerClient.java
@@ -11,10 +11,8 @@
 
 /** Sends direct commands to workers. What came of them, the workers' next reports show. */
 public final class WorkerClient {
-    /** workers with kept connections; more simply connect anew. */
-    private static final int KEPT = 64;
     private final EventLoop loop;
-    private final Cache<String, HttpCaller> callers = Caffeine.newBuilder().maximumSize(KEPT).executor(Runnable::run).build();
+    private final Cache<String, HttpCaller> callers = Caffeine.newBuilder().maximumSize(Tuning.WORKERS_KEPT).executor(Runnable::run).build();
 
     public WorkerClient(EventLoop loop) {
         this.loop = loop;
