--- a/src/main/java/org/shoreusher/settings/Tuning.java
+++ b/src/main/java/org/shoreusher/settings/Tuning.java
@@ -31,8 +31,8 @@
     public static final long SILENT_MARGIN_MS = 500;
     /** share of the value limit that one record of finished tasks may fill; the rest is slack. */
     public static final double RECORD_FILL = 0.75;
-    /** number of parts; see docs/design.md for the figures behind it. */
-    public static final int PARTS = 2;
+    /** number of parts; the code is for any number, docs/design.md has the figures that make it one. */
+    public static final int PARTS = 1;
     /** ms; how often a node looks whether it holds two parts more than another. */
     public static final long DEAL_EVERY_MS = 5_000;
     /** s; a peer that is up for less gets no part dealt; it may be in a rolling restart. */
