--- a/src/main/java/org/shoreusher/cli/Main.java
+++ b/src/main/java/org/shoreusher/cli/Main.java
@@ -90,8 +90,9 @@
             new Service(settings, settings.host() + "/" + HexFormat.of().formatHex(suffix)).run();
         } catch (InterruptedException e) {
             return complain("interrupted", UNUSABLE);
-        } catch (RuntimeException e) {
-            return complain("cannot serve on " + settings.front() + " and " + settings.back() + ": " + e, UNUSABLE);
+        } catch (Exception e) {
+            // Netty rethrows a failed bind as it is, though it declares nothing.
+            return complain("cannot serve on " + settings.front() + " and " + settings.back() + ": " + e.getMessage(), UNUSABLE);
         }
         return 0;
     }
