Retire machines that are far slower than others

Cause: a slow machine kept taking tasks, which took several times as long there. Its pace is that of its tasks against the means of their jobs. Ruled out: judging by the owners' estimates, which are often wrong by half.

--- a/src/main/java/org/shoreusher/core/Fleet.java
+++ b/src/main/java/org/shoreusher/core/Fleet.java
@@ -294,6 +294,9 @@
             } else if (m.state == Machine.State.UP && m.failedJobs.size() >= Tuning.FAULTY_ERRORS) {
                 out.log("retired: " + m.id + ", tasks of " + m.failedJobs.size() + " jobs failed on it");
                 m.state = Machine.State.DRAINING;
+            } else if (m.state == Machine.State.UP && m.slow()) {
+                out.log("retired: " + m.id + ", its tasks take far longer than others of their jobs");
+                m.state = Machine.State.DRAINING;
             } else if (m.state == Machine.State.UP && !Double.isNaN(m.noticeS) && m.tasks.isEmpty()) {
                 m.state = Machine.State.DRAINING;
             } else if (m.state == Machine.State.UP && m.heard && m.tasks.isEmpty()
--- a/src/main/java/org/shoreusher/core/Machine.java
+++ b/src/main/java/org/shoreusher/core/Machine.java
@@ -5,6 +5,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
+import org.shoreusher.settings.Tuning;
 
 /** An owner's knowledge of one machine of its part. */
 final class Machine {
@@ -54,6 +55,8 @@
     int handTo;
     double noticeS = Double.NaN;
     long idleSinceMs = -1;
+    private double pace = 1;
+    private int paced;
     double cpusUsed;
     double gpusUsed;
     double memUsed;
@@ -71,6 +74,17 @@
         this.rentedWallMs = rentedWallMs;
     }
 
+    /** A task took so many times the mean of its job's finished tasks. */
+    void ran(double timesTheMean) {
+        pace = paced == 0 ? timesTheMean : pace + (timesTheMean - pace) * Tuning.PACE_WEIGHT;
+        paced++;
+    }
+
+    /** Whether it is so much slower than others that work is better done elsewhere. */
+    boolean slow() {
+        return paced >= Tuning.PACE_TASKS && pace > Tuning.SLOW_TIMES;
+    }
+
     static String taskKey(String job, int index) {
         return job + "/" + index;
     }
--- a/src/main/java/org/shoreusher/core/Part.java
+++ b/src/main/java/org/shoreusher/core/Part.java
@@ -594,7 +594,11 @@
         if (t.cause() == Cause.DONE) {
             m.failedJobs.clear();
             if (ours && job != null && live.runningSinceMs >= 0) {
-                estimates.observed(job, (out.now.steadyMs() - live.runningSinceMs) / 1000.0);
+                double ranS = (out.now.steadyMs() - live.runningSinceMs) / 1000.0;
+                if (job.observedCount() >= Tuning.PACE_TASKS && job.observedMeanS() >= Tuning.PACE_LEAST_S) {
+                    m.ran(ranS / job.observedMeanS());
+                }
+                estimates.observed(job, ranS);
             }
             if (job != null && t.index() >= 0 && t.index() < job.spec.tasks() && !job.done.get(t.index())) {
                 job.done.set(t.index());
--- a/src/main/java/org/shoreusher/settings/Tuning.java
+++ b/src/main/java/org/shoreusher/settings/Tuning.java
@@ -127,6 +127,15 @@
     /** times the save time that a stopped task is given, as machines differ in speed. */
     public static final double SAVE_SLACK = 2;
 
+    /** times the mean of their jobs that a machine's tasks take when it is retired as slow; good ones differ by a tenth, tasks by half. */
+    public static final double SLOW_TIMES = 2.5;
+    /** tasks that must have finished before a mean or a machine's pace is believed. */
+    public static final int PACE_TASKS = 4;
+    /** weight of the newest task in a machine's pace. */
+    public static final double PACE_WEIGHT = 0.3;
+    /** s; shorter tasks say nothing of a pace, since reports are about a second apart. */
+    public static final double PACE_LEAST_S = 5;
+
     // ---- cloud -------------------------------------------------------------------------------
     /** ms; a cloud call is given up after this; answers take 150 ms. */
     public static final long CLOUD_TIMEOUT_MS = 4_000;
--- a/src/test/java/org/shoreusher/core/OwnerPiecesTest.java
+++ b/src/test/java/org/shoreusher/core/OwnerPiecesTest.java
@@ -141,4 +141,18 @@
         job.done.set(0);
         assertTrue(!job.suspect());
     }
+
+    /** One slow task is chance; several in a row, far beyond what machines of a type differ by, are the machine. */
+    @Example
+    void aSlowMachineIsToldFromASlowTask() {
+        MachineType type = new MachineType("t", 8, 0, 16, 10, 1, 1, 0.4, 10, List.of("a"));
+        Machine slow = new Machine("m-1", type, "a", true, 0);
+        Machine good = new Machine("m-2", type, "a", true, 0);
+        for (int i = 0; i < 6; i++) {
+            slow.ran(4);
+            good.ran(i == 2 ? 4 : 1.1);
+        }
+        assertTrue(slow.slow());
+        assertTrue(!good.slow());
+    }
 }
