Clean-up after rereading: one way to put an own write into the view, and the like

Five places read the wire's revision out of a confirmed write by hand; Mirror.applied does it for all. The slots of a plan, an empty slot and a machine's record are each made in one place. Fields, a getter and a parameter that nothing used are gone.

--- a/src/main/java/org/shoreusher/core/Fleet.java
+++ b/src/main/java/org/shoreusher/core/Fleet.java
@@ -66,12 +66,7 @@
     // ---- renting -----------------------------------------------------------------------------
 
     private void plan() {
-        List<Planner.Slot> slots = new ArrayList<>();
-        for (Machine m : part.machines().values()) {
-            if (part.available(m) || m.state == Machine.State.BOOTING) {
-                slots.add(new Planner.Slot(m));
-            }
-        }
+        List<Planner.Slot> slots = slots();
         Planner planner = new Planner(slots, part::cpusRentable, part::gpusLeft);
         List<Job> jobs = part.ordered();
         int had = slots.size();
@@ -89,11 +84,11 @@
                     break;
                 }
                 wanted = left;
-                Kind kind = kindFor(job.spec, type, slots, had);
+                Kind kind = kindFor(job.spec, type, slots);
                 if (kind == null) {
                     break;
                 }
-                slots.add(new Planner.Slot(null, type, kind.zone, kind.spot, type.cpus(), type.gpus(), type.memGb()));
+                slots.add(new Planner.Slot(type, kind.zone, kind.spot));
             }
         }
         Set<Machine> needed = new HashSet<>();
@@ -125,21 +120,26 @@
         }
     }
 
-    /** Machines that would be filled if every waiting task got its place at once. */
-    private int lacking(List<Job> jobs) {
+    /** The room on machines that have come up or will. */
+    private List<Planner.Slot> slots() {
         List<Planner.Slot> slots = new ArrayList<>();
         for (Machine m : part.machines().values()) {
             if (part.available(m) || m.state == Machine.State.BOOTING) {
                 slots.add(new Planner.Slot(m));
             }
         }
-        Planner planner = new Planner(slots, part::cpusRentable, part::gpusLeft);
+        return slots;
+    }
+
+    /** Machines that would be filled if every waiting task got its place at once. */
+    private int lacking(List<Job> jobs) {
+        Planner planner = new Planner(slots(), part::cpusRentable, part::gpusLeft);
         double machines = 0;
         for (Job job : jobs) {
             int left = planner.place(job, job.waitingCount);
             MachineType type = cheapest(job.spec);
             if (left > 0 && type != null) {
-                machines += left / (double) Math.max(1, new Planner.Slot(null, type, "", true, type.cpus(), type.gpus(), type.memGb()).fits(job.spec));
+                machines += left / (double) Math.max(1, new Planner.Slot(type, "", true).fits(job.spec));
             }
         }
         return (int) Math.ceil(machines);
@@ -212,7 +212,7 @@
     }
 
     /** Spot before ordinary, the zone with fewer of the part's machines first; null if all are refused. */
-    private Kind kindFor(JobSpec spec, MachineType type, List<Planner.Slot> slots, int had) {
+    private Kind kindFor(JobSpec spec, MachineType type, List<Planner.Slot> slots) {
         Kind best = null;
         double bestRank = Double.MAX_VALUE;
         for (String zone : type.zones()) {
--- a/src/main/java/org/shoreusher/core/Holding.java
+++ b/src/main/java/org/shoreusher/core/Holding.java
@@ -140,7 +140,7 @@
             return;
         }
         if (reply.status() == 200) {
-            recordVersion = applied(reply, writes);
+            recordVersion = mirror.applied(reply, writes);
             lease.confirmed(record.expiryMs(), sentAt);
             nextRenewMs = sentAt.steadyMs() + Tuning.HEARTBEAT_MS;
             if (lapsedLogged && holds()) {
@@ -202,7 +202,7 @@
         renewing = out.renewal(new StateOp.Multi(guards, writes), reply -> {
             renewing = false;
             if (reply.status() == 200 && !lost) {
-                recordVersion = applied(reply, writes);
+                recordVersion = mirror.applied(reply, writes);
                 term = next;
                 out.log("term: part " + n + " raised to " + next + " for a worker that has seen " + above);
             } else {
@@ -235,11 +235,4 @@
             out.log("lost: part " + n + " term " + term + ", " + why);
         }
     }
-
-    /** Puts an own write into the view; returns its revision. */
-    long applied(StateReply reply, Map<String, Map<String, Object>> writes) {
-        long revision = ((Number) reply.body().get("ledger")).longValue();
-        writes.forEach((key, value) -> mirror.apply(key, value, revision));
-        return revision;
-    }
 }
--- a/src/main/java/org/shoreusher/core/Machine.java
+++ b/src/main/java/org/shoreusher/core/Machine.java
@@ -4,7 +4,6 @@
 import it.unimi.dsi.fastutil.objects.ObjectOpenHashSet;
 import java.util.ArrayList;
 import java.util.List;
-import java.util.Map;
 import org.shoreusher.settings.Tuning;
 
 /** An owner's knowledge of one machine of its part. */
@@ -46,8 +45,6 @@
     boolean used;
     /** Whether the record that says so is durable. */
     boolean recordedUsed;
-    boolean recorded;
-    boolean recording;
     /** Given no more tasks, so that it runs empty and can be handed to a part that lacks machines. */
     boolean yielding;
     /** Whether a handover is on its way, and to which part. */
@@ -105,8 +102,4 @@
     List<Live> tasksNow() {
         return new ArrayList<>(tasks.values());
     }
-
-    Map<String, Live> tasks() {
-        return tasks;
-    }
 }
--- a/src/main/java/org/shoreusher/core/MachineRecords.java
+++ b/src/main/java/org/shoreusher/core/MachineRecords.java
@@ -40,14 +40,14 @@
      */
     boolean handOver(Machine m, int to) {
         Map<String, Long> guards = holding.guards(Keys.machine(m.id), mirror.version(Keys.machine(m.id)));
-        Map<String, Map<String, Object>> writes = Map.of(Keys.machine(m.id), new MachineRecord(to, m.type.name(), m.zone, m.spot, m.rentedWallMs, true).write());
+        Map<String, Map<String, Object>> writes = Map.of(Keys.machine(m.id), record(m, to, true));
         boolean sent = out.state(new StateOp.Multi(guards, writes), reply -> {
             m.handing = false;
             if (holding.lost()) {
                 return;
             }
             if (reply.status() == 200) {
-                holding.applied(reply, writes);
+                mirror.applied(reply, writes);
                 machines.remove(m.id);
                 out.log("handover: " + m.id + " from part " + n + " to part " + to);
             }
@@ -60,13 +60,16 @@
         return sent;
     }
 
+    private static Map<String, Object> record(Machine m, int part, boolean used) {
+        return new MachineRecord(part, m.type.name(), m.zone, m.spot, m.rentedWallMs, used).write();
+    }
+
     /** Records machines before their first start, and removes the records of those that are gone. */
     void write() {
         if (recording || dirty.isEmpty() || !holding.holds()) {
             return;
         }
-        Map<String, Long> guards = new LinkedHashMap<>();
-        guards.putAll(holding.fence());
+        Map<String, Long> guards = new LinkedHashMap<>(holding.fence());
         Map<String, Map<String, Object>> writes = new LinkedHashMap<>();
         List<String> batch = new ArrayList<>();
         for (String id : dirty) {
@@ -77,7 +80,7 @@
             Machine m = machines.get(id);
             if (m != null || mirror.get(key) != null) {
                 guards.put(key, mirror.version(key));
-                writes.put(key, m == null ? null : new MachineRecord(n, m.type.name(), m.zone, m.spot, m.rentedWallMs, m.used).write());
+                writes.put(key, m == null ? null : record(m, n, m.used));
             }
             batch.add(id);
         }
@@ -91,7 +94,7 @@
                 return;
             }
             if (reply.status() == 200) {
-                holding.applied(reply, writes);
+                mirror.applied(reply, writes);
             }
             for (String id : batch) {
                 Machine m = machines.get(id);
@@ -102,7 +105,6 @@
                 } else if (m != null && record.part() != n) {
                     machines.remove(id);
                 } else if (m != null) {
-                    m.recorded = true;
                     m.recordedUsed = record.used();
                 }
             }
--- a/src/main/java/org/shoreusher/core/Mirror.java
+++ b/src/main/java/org/shoreusher/core/Mirror.java
@@ -95,6 +95,18 @@
         }
     }
 
+    /** Puts an own write that succeeded into the view; returns the revision at which it was applied. */
+    long applied(StateReply reply, Map<String, Map<String, Object>> writes) {
+        long at;
+        try {
+            at = StateFormat.revision(new Tree(reply.body()));
+        } catch (Tree.Missing e) {
+            throw new IllegalStateException("the state service confirmed a write without its revision: " + e.getMessage());
+        }
+        writes.forEach((key, value) -> apply(key, value, at));
+        return at;
+    }
+
     /**
      * Drops a key from memory. News from before its last version, which a watch may yet bring, must not
      * bring it back: a done job would be taken for an open one.
--- a/src/main/java/org/shoreusher/core/Part.java
+++ b/src/main/java/org/shoreusher/core/Part.java
@@ -336,7 +336,6 @@
         Machine m = new Machine(id, type, record.zone(), record.spot(), record.rentedMs());
         m.used = record.used();
         m.recordedUsed = record.used();
-        m.recorded = true;
         // The owner before may have kept the worker's lease alive up to the end of its grace.
         m.answeredAtMs = holding.takenAtMs() + PartLease.graceMs(settings);
         machines.put(id, m);
@@ -436,7 +435,7 @@
                 job.finishing = out.state(new StateOp.Multi(holding.guards(Keys.job(job.id), entry.version()), writes), reply -> {
                     job.finishing = false;
                     if (reply.status() == 200) {
-                        holding.applied(reply, writes);
+                        mirror.applied(reply, writes);
                     }
                 });
                 if (!job.finishing) {
--- a/src/main/java/org/shoreusher/core/Parts.java
+++ b/src/main/java/org/shoreusher/core/Parts.java
@@ -136,9 +136,8 @@
         taking = out.renewal(new StateOp.Multi(guards, writes), reply -> {
             taking = false;
             if (reply.status() == 200) {
-                long revision = ((Number) reply.body().get("ledger")).longValue();
+                long revision = mirror.applied(reply, writes);
                 owned[n] = new Part(n, owned.length, settings, out, mirror, types, peers, new Holding(n, settings, out, mirror, record, sentAt, revision));
-                writes.forEach((key, value) -> mirror.apply(key, value, revision));
                 nextTakeMs = out.now.steadyMs();
                 out.log("takeover: part " + n + " term " + term + (before == null ? ", new" : " from " + before.owner()));
             } else if (reply.status() == 409) {
--- a/src/main/java/org/shoreusher/core/Planner.java
+++ b/src/main/java/org/shoreusher/core/Planner.java
@@ -28,7 +28,12 @@
             this(m, m.type, m.zone, m.spot, m.cpusFree(), m.gpusFree(), m.memFree());
         }
 
-        Slot(Machine machine, MachineType type, String zone, boolean spot, double cpus, double gpus, double mem) {
+        /** An empty machine that has yet to be rented. */
+        Slot(MachineType type, String zone, boolean spot) {
+            this(null, type, zone, spot, type.cpus(), type.gpus(), type.memGb());
+        }
+
+        private Slot(Machine machine, MachineType type, String zone, boolean spot, double cpus, double gpus, double mem) {
             this.machine = machine;
             this.type = type;
             this.zone = zone;
--- a/src/main/java/org/shoreusher/core/Preemption.java
+++ b/src/main/java/org/shoreusher/core/Preemption.java
@@ -12,14 +12,12 @@
  * started so lately that its start would not count.
  */
 final class Preemption {
-    private final Part part;
     private final Object2DoubleOpenHashMap<String> teamRelief = new Object2DoubleOpenHashMap<>();
     private final List<Live> victims = new ArrayList<>();
     private final List<Live> chosen = new ArrayList<>();
     private double relief;
 
     Preemption(Part part, Urgency urgency, Reading now) {
-        this.part = part;
         for (Machine m : part.machines().values()) {
             for (Live live : m.tasks.values()) {
                 if (live.stopping || live.doomed) {
--- a/src/main/java/org/shoreusher/core/Quota.java
+++ b/src/main/java/org/shoreusher/core/Quota.java
@@ -109,8 +109,7 @@
             creating = out.state(new StateOp.Multi(guards, writes), reply -> {
                 creating = false;
                 if (reply.status() == 200) {
-                    long revision = ((Number) reply.body().get("ledger")).longValue();
-                    writes.forEach((key, value) -> mirror.apply(key, value, revision));
+                    mirror.applied(reply, writes);
                 }
             });
         }
@@ -157,12 +156,12 @@
     private void send(String team, Give give) {
         Map<String, Long> guards = new LinkedHashMap<>(fence);
         guards.put(Keys.quota(team), give.version);
-        Map<String, Object> value = give.record.write();
-        boolean sent = out.state(new StateOp.Multi(guards, Map.of(Keys.quota(team), value)), reply -> {
+        Map<String, Map<String, Object>> writes = Map.of(Keys.quota(team), give.record.write());
+        boolean sent = out.state(new StateOp.Multi(guards, writes), reply -> {
             inFlight.remove(team);
             if (reply.status() == 200) {
                 giving.remove(team);
-                mirror.apply(Keys.quota(team), value, ((Number) reply.body().get("ledger")).longValue());
+                mirror.applied(reply, writes);
             }
         });
         if (sent) {
--- a/src/main/java/org/shoreusher/core/UserDesk.java
+++ b/src/main/java/org/shoreusher/core/UserDesk.java
@@ -188,8 +188,7 @@
         boolean sent = out.stateForUser(op, reply -> {
             working--;
             if (reply.status() == 200) {
-                long revision = ((Number) reply.body().get("ledger")).longValue();
-                op.writes().forEach((key, value) -> mirror.apply(key, value, revision));
+                mirror.applied(reply, op.writes());
                 then.accept(reply);
             } else if (reply.status() == 409) {
                 then.accept(reply);
