--- a/src/main/java/org/shoreusher/core/Fleet.java
+++ b/src/main/java/org/shoreusher/core/Fleet.java
@@ -1,6 +1,7 @@
 package org.shoreusher.core;
 
 import it.unimi.dsi.fastutil.objects.Object2LongOpenHashMap;
+import it.unimi.dsi.fastutil.objects.ObjectLinkedOpenHashSet;
 import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.HashSet;
@@ -28,6 +29,10 @@
     private final Object2LongOpenHashMap<Kind> refusedUntil = new Object2LongOpenHashMap<>();
     /** Machines that lists show and no record does, with the moment they were first seen. */
     private final Object2LongOpenHashMap<String> strays = new Object2LongOpenHashMap<>();
+    /** Machines in the newest list. */
+    private Set<String> listed = Set.of();
+    /** Machines that have been there and are gone; names are never used again. */
+    private final ObjectLinkedOpenHashSet<String> gone = new ObjectLinkedOpenHashSet<>();
     /** Machines the last plan had nothing for, and how many more it could have filled. */
     private final Set<Machine> spare = new HashSet<>();
     private int lacks;
@@ -63,32 +68,48 @@
         list();
     }
 
+    /** A machine of the part is gone. */
+    void forget(String id) {
+        gone.add(id);
+        if (gone.size() > Tuning.GONE_NAMES) {
+            gone.removeFirst();
+        }
+    }
+
+    boolean isGone(String id) {
+        return gone.contains(id);
+    }
+
+    boolean isListed(String id) {
+        return listed.contains(id);
+    }
+
     // ---- renting -----------------------------------------------------------------------------
 
     private void plan() {
-        List<Planner.Slot> slots = slots();
-        Planner planner = new Planner(slots, part::cpusRentable, part::gpusLeft);
+        Planner planner = new Planner(slots(), part::cpusRentable, part::gpusLeft);
         List<Job> jobs = part.ordered();
-        int had = slots.size();
-        // Idle machines of other parts come by handover, which is quicker and cheaper than renting.
-        int coming = part.idleElsewhere();
+        List<Planner.Slot> wanting = new ArrayList<>();
         for (Job job : jobs) {
-            if (job.suspect()) {
+            MachineType type = cheapest(job.spec);
+            if (job.suspect() || type == null) {
                 continue;
             }
-            int wanted = wantedAtOnce(job);
-            MachineType type = cheapest(job.spec);
-            while (type != null && slots.size() < had + Tuning.RENT_AT_ONCE) {
-                int left = planner.place(job, wanted);
-                if (left <= 0) {
-                    break;
-                }
-                wanted = left;
-                Kind kind = kindFor(job.spec, type, slots);
+            int left = planner.place(job, wantedAtOnce(job));
+            while (left > 0 && wanting.size() < Tuning.RENT_AT_ONCE) {
+                Kind kind = kindFor(job.spec, type, wanting);
                 if (kind == null) {
                     break;
                 }
-                slots.add(new Planner.Slot(type, kind.zone, kind.spot));
+                int fits = Math.max(1, new Planner.Slot(type, kind.zone, kind.spot).fits(job.spec));
+                // In rounds over the zones, so that none gets all.
+                int count = Math.max(1, Math.min(left / fits / type.zones().size(), Tuning.RENT_AT_ONCE - wanting.size()));
+                for (int i = 0; i < count; i++) {
+                    Planner.Slot slot = new Planner.Slot(type, kind.zone, kind.spot);
+                    wanting.add(slot);
+                    planner.addRoom(slot);
+                }
+                left = planner.place(job, left);
             }
         }
         Set<Machine> needed = new HashSet<>();
@@ -101,13 +122,12 @@
             }
         }
         lacks = lacking(jobs);
-        if (renting == null && slots.size() - coming > had) {
-            // New slots were added behind; the planner has sorted them among the others since.
-            slots.removeIf(s -> s.machine != null);
-            slots.subList(slots.size() - coming, slots.size()).clear();
-            Planner.Slot first = slots.get(0);
+        // Idle machines of other parts come by handover, which is quicker and cheaper than renting.
+        wanting.subList(Math.max(0, wanting.size() - part.idleElsewhere()), wanting.size()).clear();
+        if (renting == null && !wanting.isEmpty()) {
+            Planner.Slot first = wanting.get(0);
             int count = 0;
-            for (Planner.Slot s : slots) {
+            for (Planner.Slot s : wanting) {
                 if (s.type == first.type && s.zone.equals(first.zone) && s.spot == first.spot) {
                     count++;
                 }
@@ -155,19 +175,16 @@
         return lacks;
     }
 
-    /** Hands spare machines to the part that lacks most, and sees begun handovers through. */
+    /** Hands spare machines to the part that lacks most. */
     private void handOver() {
         int to = part.neediest();
         int most = to < 0 ? 0 : part.lacksOf(to);
         runEmpty(most);
         for (Machine m : new ArrayList<>(part.machines().values())) {
-            if (m.state == Machine.State.HANDING && !m.handing) {
-                part.records().handOver(m, m.handTo);
-            } else if (most > 0 && (spare.contains(m) || (m.yielding && m.tasks.isEmpty())) && m.state == Machine.State.UP && m.recordedUsed && out.now.steadyMs() - m.idleSinceMs > Tuning.HANDOVER_IDLE_MS) {
-                if (part.records().handOver(m, to)) {
-                    most--;
-                    spare.remove(m);
-                }
+            if (most > 0 && (spare.contains(m) || (m.yielding && m.tasks.isEmpty())) && m.state == Machine.State.UP && m.recordedUsed && out.now.steadyMs() - m.idleSinceMs > Tuning.HANDOVER_IDLE_MS) {
+                part.records().handOver(m, to);
+                most--;
+                spare.remove(m);
             }
         }
     }
@@ -212,17 +229,18 @@
     }
 
     /** Spot before ordinary, the zone with fewer of the part's machines first; null if all are refused. */
-    private Kind kindFor(JobSpec spec, MachineType type, List<Planner.Slot> slots) {
+    private Kind kindFor(JobSpec spec, MachineType type, List<Planner.Slot> wanting) {
         Kind best = null;
         double bestRank = Double.MAX_VALUE;
         for (String zone : type.zones()) {
+            long there = part.machines().values().stream().filter(m -> m.zone.equals(zone)).count() + wanting.stream().filter(s -> s.zone.equals(zone)).count();
             for (boolean spot : new boolean[] {true, false}) {
                 Kind kind = new Kind(type.name(), zone, spot);
                 if (!spot && spec.spot() && !worthOrdinary(type)) {
                     continue;
                 }
                 if (spec.allows(type.name(), zone, spot) && refusedUntil.getLong(kind) <= out.now.steadyMs()) {
-                    double rank = (spot ? 0 : 1_000) + slots.stream().filter(s -> s.zone.equals(zone)).count();
+                    double rank = (spot ? 0 : Tuning.ORDINARY_LAST) + there;
                     if (rank < bestRank) {
                         bestRank = rank;
                         best = kind;
@@ -263,7 +281,7 @@
                     refusedUntil.put(kind, out.now.steadyMs() + Tuning.NO_CAPACITY_MS);
                 }
                 for (String id : names) {
-                    if (!part.lost() && !part.machines().containsKey(id)) {
+                    if (!part.lost() && !part.machines().containsKey(id) && !gone.contains(id)) {
                         part.add(id, types.get(rent.type()), rent.zone(), rent.spot(), askedWall);
                     }
                 }
@@ -284,8 +302,10 @@
 
     // ---- returning ---------------------------------------------------------------------------
 
-    /** Marks machines that must not get more work: faulty, noticed, dead in their boot. */
+    /** Marks machines that must not get more work: faulty, noticed, deaf, dead in their boot. */
     private void retire() {
+        // If many seem deaf at once, it is this node that they don't hear.
+        long deaf = part.machines().values().stream().filter(Machine::deaf).count();
         for (Machine m : part.machines().values()) {
             long age = out.now.wallMs() - m.rentedWallMs;
             if (m.state == Machine.State.BOOTING && age > Tuning.BOOT_PATIENCE * m.type.bootS() * 1000) {
@@ -297,6 +317,9 @@
             } else if (m.state == Machine.State.UP && m.slow()) {
                 out.log("retired: " + m.id + ", its tasks take far longer than others of their jobs");
                 m.state = Machine.State.DRAINING;
+            } else if (m.state == Machine.State.UP && m.deaf() && m.tasks.isEmpty() && deaf <= Math.max(1, part.machines().size() * Tuning.DEAF_SHARE)) {
+                out.log("retired: " + m.id + " reports but hears nothing");
+                m.state = Machine.State.DRAINING;
             } else if (m.state == Machine.State.UP && !Double.isNaN(m.noticeS) && m.tasks.isEmpty()) {
                 m.state = Machine.State.DRAINING;
             } else if (m.state == Machine.State.UP && m.heard && m.tasks.isEmpty()
@@ -392,6 +415,7 @@
             }
         }
         strays.keySet().retainAll(names);
+        listed = names;
         // Lists are at most twice their lag old, and a machine once listed stays so until it is gone.
         long shown = (long) (2 * settings.listLagS() * 1000) + Tuning.LIST_SLACK_MS;
         for (Machine m : new ArrayList<>(part.machines().values())) {
@@ -405,8 +429,9 @@
     private void stray(Listed l) {
         if (!strays.containsKey(l.id())) {
             strays.put(l.id(), out.now.steadyMs());
-        } else if (out.now.steadyMs() - strays.getLong(l.id()) > 2 * Tuning.LIST_EVERY_MS) {
+        } else if (out.now.steadyMs() - strays.getLong(l.id()) > (gone.contains(l.id()) ? Tuning.GONE_STILL_LISTED_MS : 2 * Tuning.LIST_EVERY_MS)) {
             strays.removeLong(l.id());
+            gone.remove(l.id());
             out.log("adopted: " + l.id() + " in part " + part.n);
             part.add(l.id(), types.get(l.type()), l.zone(), l.spot(), out.now.wallMs() - (long) (l.ageS() * 1000));
         }
--- a/src/main/java/org/shoreusher/core/Holding.java
+++ b/src/main/java/org/shoreusher/core/Holding.java
@@ -31,6 +31,8 @@
     private boolean renewing;
     private boolean lapsedLogged;
     private long nextRenewMs;
+    /** The last chunk of finished tasks that was written. */
+    private int lastChunk;
 
     /**
      * @param writtenAt when the takeover was sent
@@ -107,9 +109,14 @@
         Map<String, Map<String, Object>> writes = new LinkedHashMap<>();
         PartRecord record = new PartRecord(owner, expiry, term, records == null ? doneInStore() : records.chunk(0));
         writes.put(Keys.part(n), record.write());
-        for (int c = 1; records != null && c < records.chunks() && writes.size() < Math.min(settings.txnOps(), Tuning.RECORDS_AT_ONCE); c++) {
+        // In turns: with many jobs every chunk changes between heartbeats, and the last ones must become durable as well.
+        int spilled = records == null ? 0 : records.chunks() - 1;
+        int from = lastChunk;
+        for (int i = 1; i <= spilled && writes.size() < Math.min(settings.txnOps(), Tuning.RECORDS_AT_ONCE); i++) {
+            int c = 1 + (from + i - 1) % spilled;
             if (!stored(Keys.done(n, c), records.chunk(c))) {
                 writes.put(Keys.done(n, c), Map.of("done", records.chunk(c)));
+                lastChunk = c;
             }
         }
         renewing = out.renewal(new StateOp.Multi(guards(Keys.part(n), recordVersion), writes), reply -> {
--- a/src/main/java/org/shoreusher/core/Keys.java
+++ b/src/main/java/org/shoreusher/core/Keys.java
@@ -1,9 +1,12 @@
 package org.shoreusher.core;
 
+import java.util.ArrayList;
 import java.util.Arrays;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.TreeMap;
+import org.shoreusher.settings.Tuning;
 import org.shoreusher.wire.Tree;
 import org.shoreusher.wire.UserFormat;
 
@@ -34,16 +37,10 @@
         return JOB + id;
     }
 
-    static String open(int n, String id) {
-        return openOf(n) + id;
-    }
-
-    static String openOf(int n) {
-        return "open/" + n + "/";
-    }
-
-    static String machine(String id) {
-        return MACHINE + id;
+    /** The key of the record that a machine is in, together with those whose names differ in the last signs only. */
+    static String machine(String id, int valueBytes) {
+        int signs = valueBytes >= Tuning.WIDE_GROUP_BYTES ? 2 : 1;
+        return MACHINE + id.substring(0, Math.max(0, id.length() - signs));
     }
 
     static String quota(String team) {
@@ -165,24 +162,50 @@
 
     /** A machine's record: its part; {@code used} is written before the first start. */
     record MachineRecord(int part, String type, String zone, boolean spot, long rentedMs, boolean used) {
-        static MachineRecord read(Map<String, Object> value) {
+    }
+
+    /**
+     * The records of neighbouring machines in one value, by name. Machines rented together are named one after the
+     * other, so that hundreds of them cost a handful of writes. Types and zones stand once, machines refer to them.
+     */
+    record MachineGroup(Map<String, MachineRecord> machines) {
+        static MachineGroup read(String key, Map<String, Object> value) {
             try {
                 Tree t = new Tree(value);
-                return new MachineRecord((int) t.whole("part"), t.text("type"), t.text("zone"), t.flag("spot"), t.whole("rented"), t.flag("used"));
-            } catch (Tree.Missing e) {
-                throw new IllegalStateException("a machine record of this service can't be read: " + e.getMessage());
+                List<String> names = t.texts("names");
+                Map<String, MachineRecord> machines = new TreeMap<>();
+                for (Map.Entry<String, Object> e : t.map("machines").asMap().entrySet()) {
+                    List<?> f = (List<?>) e.getValue();
+                    machines.put(key.substring(MACHINE.length()) + e.getKey(), new MachineRecord((int) whole(f, 0), names.get((int) whole(f, 1)),
+                            names.get((int) whole(f, 2)), whole(f, 3) == 1, whole(f, 4), whole(f, 5) == 1));
+                }
+                return new MachineGroup(machines);
+            } catch (Tree.Missing | ClassCastException | IndexOutOfBoundsException e) {
+                throw new IllegalStateException("a record of machines of this service can't be read: " + e.getMessage());
             }
         }
 
-        Map<String, Object> write() {
-            Map<String, Object> m = new LinkedHashMap<>();
-            m.put("part", (long) part);
-            m.put("type", type);
-            m.put("zone", zone);
-            m.put("spot", spot);
-            m.put("rented", rentedMs);
-            m.put("used", used);
-            return m;
+        private static long whole(List<?> fields, int i) {
+            return ((Number) fields.get(i)).longValue();
+        }
+
+        /** The value under a key; null, which removes it, if no machine is left. */
+        static Map<String, Object> write(String key, Map<String, MachineRecord> machines) {
+            if (machines.isEmpty()) {
+                return null;
+            }
+            List<String> names = new ArrayList<>();
+            Map<String, Object> lines = new LinkedHashMap<>();
+            machines.forEach((id, m) -> lines.put(id.substring(key.length() - MACHINE.length()), List.of((long) m.part, name(names, m.type), name(names, m.zone),
+                    m.spot ? 1L : 0L, m.rentedMs, m.used ? 1L : 0L)));
+            return Map.of("names", names, "machines", lines);
+        }
+
+        private static long name(List<String> names, String name) {
+            if (!names.contains(name)) {
+                names.add(name);
+            }
+            return names.indexOf(name);
         }
     }
 }
--- a/src/main/java/org/shoreusher/core/Machine.java
+++ b/src/main/java/org/shoreusher/core/Machine.java
@@ -4,6 +4,7 @@
 import it.unimi.dsi.fastutil.objects.ObjectOpenHashSet;
 import java.util.ArrayList;
 import java.util.List;
+import org.shoreusher.settings.Settings;
 import org.shoreusher.settings.Tuning;
 
 /** An owner's knowledge of one machine of its part. */
@@ -35,6 +36,10 @@
     long reportedAtMs = Long.MIN_VALUE / 2;
     /** steady ms of the last moment at which a valid answer may have renewed the worker's lease. */
     long answeredAtMs;
+    /** steady ms of the last answer that this owner gave; -1 if none. */
+    long repliedAtMs = -1;
+    /** Answers in a row that the worker seems not to have heard. */
+    private int unheard;
     /** Whether the worker has reported to this owner since it took the part. */
     boolean heard;
     /** Whether an owner before may have started tasks on it; then only reports made since the takeover count. */
@@ -47,8 +52,7 @@
     boolean recordedUsed;
     /** Given no more tasks, so that it runs empty and can be handed to a part that lacks machines. */
     boolean yielding;
-    /** Whether a handover is on its way, and to which part. */
-    boolean handing;
+    /** The part that it is being handed to. */
     int handTo;
     double noticeS = Double.NaN;
     long idleSinceMs = -1;
@@ -71,6 +75,30 @@
         this.rentedWallMs = rentedWallMs;
     }
 
+    /**
+     * A report is here that is newer than the last one: tells whether its worker has heard the answer to that one. A
+     * worker that hears nothing waits out its patience and asks elsewhere first, and at last its session ends although
+     * it was answered in time.
+     */
+    void reported(WorkerReport r, long nowMs, Settings settings) {
+        if (repliedAtMs < 0) {
+            return;
+        }
+        long since = nowMs - repliedAtMs;
+        if (r.session() > session && since < settings.workerLeaseS() * 1000) {
+            unheard = Math.max(unheard + 1, Tuning.DEAF_AFTER);
+        } else if (r.session() > session || since > Math.max(Tuning.WORKER_PATIENCE_MS, settings.reportS() * 1250 + Tuning.REPORT_SLACK_MS)) {
+            unheard++;
+        } else {
+            unheard = 0;
+        }
+    }
+
+    /** Whether its reports arrive but nothing reaches it, as far as can be told. It gets no work until it shows that it hears. */
+    boolean deaf() {
+        return unheard >= Tuning.DEAF_AFTER;
+    }
+
     /** A task took so many times the mean of its job's finished tasks. */
     void ran(double timesTheMean) {
         pace = paced == 0 ? timesTheMean : pace + (timesTheMean - pace) * Tuning.PACE_WEIGHT;
--- a/src/main/java/org/shoreusher/core/MachineRecords.java
+++ b/src/main/java/org/shoreusher/core/MachineRecords.java
@@ -1,30 +1,39 @@
 package org.shoreusher.core;
 
-import it.unimi.dsi.fastutil.objects.ObjectOpenHashSet;
+import it.unimi.dsi.fastutil.objects.ObjectLinkedOpenHashSet;
 import java.util.ArrayList;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.TreeMap;
 import org.shoreusher.core.Effect.StateOp;
+import org.shoreusher.core.Keys.MachineGroup;
 import org.shoreusher.core.Keys.MachineRecord;
 import org.shoreusher.settings.Settings;
+import org.shoreusher.settings.Tuning;
 
-/** Keeps the records of a part's machines in the store in step, and hands machines to other parts. */
+/**
+ * Keeps the records of a part's machines in the store in step, and hands machines to other parts. A write is
+ * guarded by the version of each group of machines it changes, so parts that share a group can't undo each other.
+ */
 final class MachineRecords {
     private final int n;
     private final Settings settings;
     private final Outbox out;
     private final Mirror mirror;
+    private final MachineIndex index;
     private final Holding holding;
     private final Map<String, Machine> machines;
-    private final ObjectOpenHashSet<String> dirty = new ObjectOpenHashSet<>();
+    private final ObjectLinkedOpenHashSet<String> dirty = new ObjectLinkedOpenHashSet<>();
     private boolean recording;
+    private long nextMs;
 
-    MachineRecords(int n, Settings settings, Outbox out, Mirror mirror, Holding holding, Map<String, Machine> machines) {
+    MachineRecords(int n, Settings settings, Outbox out, Mirror mirror, MachineIndex index, Holding holding, Map<String, Machine> machines) {
         this.n = n;
         this.settings = settings;
         this.out = out;
         this.mirror = mirror;
+        this.index = index;
         this.holding = holding;
         this.machines = machines;
     }
@@ -35,57 +44,66 @@
     }
 
     /**
-     * Hands an idle machine with nothing in flight to another part. From the moment the write is sent nothing
-     * starts on it; the write is repeated until it is done or the machine's record has changed.
+     * Hands an idle machine with nothing in flight to another part. From here on nothing starts on it; the write is
+     * repeated until it is done or the machine's record has changed.
      */
-    boolean handOver(Machine m, int to) {
-        Map<String, Long> guards = holding.guards(Keys.machine(m.id), mirror.version(Keys.machine(m.id)));
-        Map<String, Map<String, Object>> writes = Map.of(Keys.machine(m.id), record(m, to, true));
-        boolean sent = out.state(new StateOp.Multi(guards, writes), reply -> {
-            m.handing = false;
-            if (holding.lost()) {
-                return;
-            }
-            if (reply.status() == 200) {
-                mirror.applied(reply, writes);
-                machines.remove(m.id);
-                out.log("handover: " + m.id + " from part " + n + " to part " + to);
-            }
-        });
-        if (sent) {
-            m.state = Machine.State.HANDING;
-            m.handing = true;
-            m.handTo = to;
-        }
-        return sent;
+    void handOver(Machine m, int to) {
+        m.state = Machine.State.HANDING;
+        m.handTo = to;
+        dirty.add(m.id);
     }
 
-    private static Map<String, Object> record(Machine m, int part, boolean used) {
-        return new MachineRecord(part, m.type.name(), m.zone, m.spot, m.rentedWallMs, used).write();
+    /** What the store should say of a machine; null if nothing. */
+    private MachineRecord wanted(String id) {
+        Machine m = machines.get(id);
+        if (m == null) {
+            return null;
+        }
+        boolean handing = m.state == Machine.State.HANDING;
+        return new MachineRecord(handing ? m.handTo : n, m.type.name(), m.zone, m.spot, m.rentedWallMs, handing || m.used);
     }
 
-    /** Records machines before their first start, and removes the records of those that are gone. */
+    /**
+     * Records machines before their first start, and removes the records of those that are gone: as many as have
+     * gathered, since a few hundred machines that come up within seconds would else take the whole rate of changes.
+     */
     void write() {
-        if (recording || dirty.isEmpty() || !holding.holds()) {
+        if (recording || dirty.isEmpty() || !holding.holds() || out.now.steadyMs() < nextMs) {
             return;
         }
-        Map<String, Long> guards = new LinkedHashMap<>(holding.fence());
-        Map<String, Map<String, Object>> writes = new LinkedHashMap<>();
+        Map<String, Map<String, MachineRecord>> groups = new LinkedHashMap<>();
         List<String> batch = new ArrayList<>();
         for (String id : dirty) {
-            if (batch.size() >= Math.max(1, settings.txnOps() / 2)) {
-                break;
-            }
-            String key = Keys.machine(id);
-            Machine m = machines.get(id);
-            if (m != null || mirror.get(key) != null) {
-                guards.put(key, mirror.version(key));
-                writes.put(key, m == null ? null : record(m, n, m.used));
+            String key = Keys.machine(id, settings.valueBytes());
+            Map<String, MachineRecord> group = groups.get(key);
+            if (group == null) {
+                if (groups.size() >= Math.max(1, settings.txnOps() / 2)) {
+                    continue;
+                }
+                group = new TreeMap<>(MachineIndex.machines(key, mirror.get(key)));
+                groups.put(key, group);
             }
             batch.add(id);
+            MachineRecord wanted = wanted(id);
+            MachineRecord known = group.get(id);
+            // Another part's machine is not this one's to write about.
+            if (wanted == null && known != null && known.part() == n) {
+                group.remove(id);
+            } else if (wanted != null && (known == null || known.part() == n)) {
+                group.put(id, wanted);
+            }
         }
         batch.forEach(dirty::remove);
+        Map<String, Long> guards = new LinkedHashMap<>(holding.fence());
+        Map<String, Map<String, Object>> writes = new LinkedHashMap<>();
+        groups.forEach((key, group) -> {
+            if (!group.equals(MachineIndex.machines(key, mirror.get(key)))) {
+                guards.put(key, mirror.version(key));
+                writes.put(key, MachineGroup.write(key, group));
+            }
+        });
         if (writes.isEmpty()) {
+            settle(batch);
             return;
         }
         recording = out.state(new StateOp.Multi(guards, writes), reply -> {
@@ -96,21 +114,32 @@
             if (reply.status() == 200) {
                 mirror.applied(reply, writes);
             }
-            for (String id : batch) {
-                Machine m = machines.get(id);
-                Mirror.Entry entry = mirror.get(Keys.machine(id));
-                MachineRecord record = entry == null ? null : MachineRecord.read(entry.value());
-                if (m == null ? record != null && record.part() == n : record == null || (record.part() == n && record.used() != m.used)) {
-                    dirty.add(id);
-                } else if (m != null && record.part() != n) {
-                    machines.remove(id);
-                } else if (m != null) {
-                    m.recordedUsed = record.used();
-                }
-            }
+            settle(batch);
         });
-        if (!recording) {
+        if (recording) {
+            nextMs = out.now.steadyMs() + Tuning.RECORDS_EVERY_MS;
+        } else {
             dirty.addAll(batch);
         }
     }
+
+    /** Takes over what the view now says of machines; what is not yet as wanted is written again. */
+    private void settle(List<String> batch) {
+        for (String id : batch) {
+            Machine m = machines.get(id);
+            MachineRecord record = index.get(id);
+            if (m != null && record != null && record.part() != n) {
+                if (m.state == Machine.State.HANDING) {
+                    out.log("handover: " + id + " from part " + n + " to part " + record.part());
+                }
+                machines.remove(id);
+            } else if (record != null && record.part() != n) {
+                continue;
+            } else if (record == null ? m != null : !record.equals(wanted(id))) {
+                dirty.add(id);
+            } else if (m != null) {
+                m.recordedUsed = record.used();
+            }
+        }
+    }
 }
--- a/src/main/java/org/shoreusher/core/Node.java
+++ b/src/main/java/org/shoreusher/core/Node.java
@@ -24,6 +24,7 @@
     private final Settings settings;
     private final Outbox out;
     private final Mirror mirror;
+    private final MachineIndex index = new MachineIndex();
     private final Types types;
     private final Parts parts;
     private final UserDesk desk;
@@ -44,7 +45,7 @@
         out = new Outbox(settings, count);
         mirror = new Mirror(out, this::changed);
         types = new Types(out, mirror);
-        parts = new Parts(count, settings, out, mirror, types, this, owner);
+        parts = new Parts(count, settings, out, mirror, index, types, this, owner);
         desk = new UserDesk(settings, out, mirror, types, this::counts, this::roomiestPart);
     }
 
@@ -98,12 +99,13 @@
         if (!mirror.loaded() || !types.known()) {
             return false;
         }
-        return out.stateSilenceMs() < Tuning.READY_STATE_MS || !stateAnswersElsewhere();
+        return out.stateSilenceMs() < Tuning.READY_STATE_MS || hints.values().stream().noneMatch(h -> fresh(h) && h.stateOk());
     }
 
     @Override
-    public boolean stateAnswersElsewhere() {
-        return hints.values().stream().anyMatch(h -> fresh(h) && h.stateOk());
+    public boolean aloneWithoutState() {
+        List<Hint> heard = hints.values().stream().filter(this::fresh).toList();
+        return !settings.members().isEmpty() && (heard.isEmpty() || heard.stream().anyMatch(Hint::stateOk));
     }
 
     private boolean fresh(Hint h) {
@@ -112,11 +114,11 @@
 
     private void report(Command.Report r) {
         String machine = r.report().machine();
-        Mirror.Entry entry = mirror.get(Keys.machine(machine));
-        int n = entry == null ? unrecorded(machine) : MachineRecord.read(entry.value()).part();
+        MachineRecord known = index.get(machine);
+        int n = known == null ? unrecorded(machine) : known.part();
         Part part = parts.owned(n);
         if (part != null) {
-            part.report(r.request(), r.report());
+            part.reports().report(r.request(), r.report());
             return;
         }
         PartRecord record = mirror.loaded() ? parts.record(n) : null;
@@ -170,18 +172,21 @@
             }
         } else if (key.startsWith(Keys.PART) && key.indexOf('/', Keys.PART.length()) < 0 && after != null) {
             parts.recordChanged(Integer.parseInt(key.substring(Keys.PART.length())), PartRecord.read(after.value()));
-        } else if (key.startsWith(Keys.MACHINE) && after != null) {
-            MachineRecord record = MachineRecord.read(after.value());
-            for (int n = 0; n < parts.count(); n++) {
-                if (parts.owned(n) != null) {
-                    parts.owned(n).machineChanged(key.substring(Keys.MACHINE.length()), record);
-                }
-            }
+        } else if (key.startsWith(Keys.MACHINE)) {
+            index.changed(key, before, after, this::machineChanged);
         } else if (key.equals(Keys.TYPES) && after != null) {
             types.stored(after.value());
         }
     }
 
+    private void machineChanged(String id, MachineRecord record) {
+        for (int n = 0; n < parts.count(); n++) {
+            if (parts.owned(n) != null) {
+                parts.owned(n).machineChanged(id, record);
+            }
+        }
+    }
+
     private void jobChanged(String id, JobRecord record) {
         Part part = parts.owned(record.part());
         if (part != null) {
--- /dev/null
+++ b/src/main/java/org/shoreusher/core/Placement.java
@@ -0,0 +1,91 @@
+package org.shoreusher.core;
+
+import it.unimi.dsi.fastutil.objects.Object2IntLinkedOpenHashMap;
+import it.unimi.dsi.fastutil.objects.Object2ObjectOpenHashMap;
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Set;
+import org.shoreusher.settings.Tuning;
+
+/**
+ * Which waiting tasks go on which machine. A plan over all machines and jobs gives each machine its share; what finds
+ * no room in it goes to the next machine that reports with some to spare. A plan is used again until as much time has
+ * passed as its making is worth: a small deployment plans for every report, a large one a few times a second.
+ */
+final class Placement {
+    private final Part part;
+    private final Outbox out;
+    private final Object2ObjectOpenHashMap<Machine, List<Planner.Placed>> shares = new Object2ObjectOpenHashMap<>();
+    /** Tasks that no machine had room for, by job, most pressing first. */
+    private final Object2IntLinkedOpenHashMap<Job> rest = new Object2IntLinkedOpenHashMap<>();
+    private long nextMs = Long.MIN_VALUE;
+
+    Placement(Part part, Outbox out) {
+        this.part = part;
+        this.out = out;
+    }
+
+    /** What is to be started now on a machine that reports. */
+    List<Planner.Placed> forMachine(Machine m) {
+        if (out.now.steadyMs() >= nextMs) {
+            plan();
+        }
+        List<Planner.Placed> share = shares.remove(m);
+        if (share == null && rest.isEmpty()) {
+            return List.of();
+        }
+        // What has changed since the plan, on this machine, in the team's use or in the job, is looked at again. A job
+        // is placed once, its share and its rest together: the planner does not see what it has placed itself.
+        Planner now = new Planner(new ArrayList<>(List.of(new Planner.Slot(m))), part::cpusLeft, part::gpusLeft);
+        Set<Job> tried = new HashSet<>();
+        if (share != null) {
+            for (Planner.Placed p : share) {
+                tried.add(p.job());
+                place(now, p.job(), p.count());
+            }
+        }
+        for (Job job : rest.keySet().toArray(new Job[0])) {
+            if (!now.hasRoom()) {
+                break;
+            }
+            if (tried.add(job)) {
+                place(now, job, 0);
+            }
+        }
+        return now.placed();
+    }
+
+    /** Places a job's share of the machine and as much as fits of what found no room elsewhere. */
+    private void place(Planner now, Job job, int share) {
+        int before = now.placed().size();
+        int left = rest.getInt(job);
+        now.place(job, Math.min(share + left, job.waitingCount));
+        left -= now.placed().size() > before ? Math.max(0, now.placed().get(before).count() - share) : 0;
+        if (left <= 0 || job.waitingCount == 0) {
+            rest.removeInt(job);
+        } else {
+            rest.put(job, left);
+        }
+    }
+
+    private void plan() {
+        shares.clear();
+        rest.clear();
+        List<Job> jobs = part.ordered();
+        if (jobs.isEmpty()) {
+            return;
+        }
+        Planner planner = part.planner();
+        for (Job job : jobs) {
+            int left = planner.place(job, job.waitingCount);
+            if (left > 0) {
+                rest.put(job, left);
+            }
+        }
+        for (Planner.Placed p : planner.placed()) {
+            shares.computeIfAbsent(p.slot().machine, m -> new ArrayList<>()).add(p);
+        }
+        nextMs = out.now.steadyMs() + (planner.steps() + part.machines().size() + jobs.size()) / Tuning.PLAN_STEPS_PER_MS;
+    }
+}
--- a/src/main/java/org/shoreusher/core/Planner.java
+++ b/src/main/java/org/shoreusher/core/Planner.java
@@ -9,9 +9,8 @@
 import org.shoreusher.settings.Tuning;
 
 /**
- * Places waiting tasks on the fullest machine that fits. A plan holds for the moment it is made: it is
- * made anew for every report, and only the reporting machine's share of it is carried out, because
- * starts travel only in answers to reports.
+ * Places waiting tasks on the fullest machine that fits. A plan holds for the moment it is made; {@link Placement}
+ * keeps it while machines report, because starts travel only in answers to reports.
  */
 final class Planner {
     /** A machine's room while a plan is made. */
@@ -23,6 +22,8 @@
         double cpus;
         double gpus;
         double mem;
+        /** Where it stands in the order for the job that is being placed. */
+        private double rank;
 
         Slot(Machine m) {
             this(m, m.type, m.zone, m.spot, m.cpusFree(), m.gpusFree(), m.memFree());
@@ -51,6 +52,11 @@
             return (int) Math.max(0, n);
         }
 
+        /** Whether hardly any task could find room here. */
+        boolean full() {
+            return cpus <= Tuning.EPSILON && gpus <= Tuning.EPSILON;
+        }
+
         void take(JobSpec job, int count) {
             cpus -= job.cpus() * count;
             gpus -= job.gpus() * count;
@@ -62,12 +68,16 @@
     record Placed(Job job, Slot slot, int count) {
     }
 
+    private static final Comparator<Slot> ORDER = Comparator.comparingDouble((Slot s) -> s.rank).thenComparing(s -> s.machine == null ? "~" : s.machine.id);
+
     private final ToDoubleFunction<String> cpusLeft;
     private final ToDoubleFunction<String> gpusLeft;
     private final Object2DoubleOpenHashMap<String> cpusPlanned = new Object2DoubleOpenHashMap<>();
     private final Object2DoubleOpenHashMap<String> gpusPlanned = new Object2DoubleOpenHashMap<>();
+    /** Those that still have room. */
     private final List<Slot> slots;
     private final List<Placed> placed = new ArrayList<>();
+    private long steps;
 
     Planner(List<Slot> slots, ToDoubleFunction<String> cpusLeft, ToDoubleFunction<String> gpusLeft) {
         this.slots = slots;
@@ -79,6 +89,21 @@
         return placed;
     }
 
+    /** One more machine to place on. */
+    void addRoom(Slot slot) {
+        slots.add(slot);
+    }
+
+    /** Whether any machine has room left. */
+    boolean hasRoom() {
+        return !slots.isEmpty();
+    }
+
+    /** Machines looked at so far, summed over jobs: what the plan costs. */
+    long steps() {
+        return steps;
+    }
+
     /** How many tasks of the job its team's limit still allows. */
     int allowedByTeam(JobSpec job) {
         double n = Integer.MAX_VALUE;
@@ -98,8 +123,14 @@
         if (left <= 0) {
             return 0;
         }
-        slots.sort(Comparator.comparingDouble((Slot s) -> s.cpus + fetchCost(s, spec)).thenComparing(s -> s.machine == null ? "~" : s.machine.id));
+        if (slots.isEmpty()) {
+            return left;
+        }
+        steps += slots.size();
+        slots.forEach(s -> s.rank = s.cpus + fetchCost(s, spec));
+        slots.sort(ORDER);
         ZoneRule zones = new ZoneRule(job);
+        boolean filled = false;
         for (int i = 0; i < slots.size() && left > 0; i++) {
             Slot slot = slots.get(i);
             if (!spec.allows(slot.type.name(), slot.zone, slot.spot)) {
@@ -113,8 +144,12 @@
                 gpusPlanned.addTo(spec.team(), n * spec.gpus());
                 placed.add(new Placed(job, slot, n));
                 left -= n;
+                filled |= slot.full();
             }
         }
+        if (filled) {
+            slots.removeIf(Slot::full);
+        }
         return left;
     }
 
--- /dev/null
+++ b/src/main/java/org/shoreusher/core/Reports.java
@@ -0,0 +1,259 @@
+package org.shoreusher.core;
+
+import it.unimi.dsi.fastutil.objects.ObjectOpenHashSet;
+import java.util.ArrayList;
+import java.util.List;
+import org.shoreusher.core.Keys.JobRecord;
+import org.shoreusher.core.Keys.JobStatus;
+import org.shoreusher.core.Keys.MachineRecord;
+import org.shoreusher.core.WorkerReport.Cause;
+import org.shoreusher.core.WorkerReport.TaskReport;
+import org.shoreusher.core.WorkerReport.TaskState;
+import org.shoreusher.settings.Settings;
+import org.shoreusher.settings.Tuning;
+import org.shoreusher.wire.WorkerFormat;
+
+/**
+ * Reads the reports of a part's machines and answers them.
+ *
+ * <p>Promises: a task is started only in the answer to the newest report of its machine, only under an unexpired
+ * lease, and only when no machine can have it.
+ */
+final class Reports {
+    private final Part part;
+    private final Settings settings;
+    private final Outbox out;
+    private final Mirror mirror;
+    private final MachineIndex index;
+    private final Types types;
+    private final TaskBook book;
+    private final Placement placement;
+    private long nextAttempt = 1;
+
+    Reports(Part part, Settings settings, Outbox out, Mirror mirror, MachineIndex index, Types types, TaskBook book) {
+        this.part = part;
+        this.settings = settings;
+        this.out = out;
+        this.mirror = mirror;
+        this.index = index;
+        this.types = types;
+        this.book = book;
+        placement = new Placement(part, out);
+    }
+
+    /** Answers a report of a machine that belongs to this part, or to none yet. */
+    void report(long request, WorkerReport r) {
+        if (!part.mayAnswer() || r.token() > part.term()) {
+            if (!part.lost() && r.token() > part.term()) {
+                part.holding().raise(r.token());
+            }
+            out.later(request);
+            return;
+        }
+        Machine m = part.machines().get(r.machine());
+        if (m == null) {
+            m = adopt(r);
+        }
+        // A report may have been held up since before the takeover and not show what the owner before started
+        // after it. Only one made by a worker that has seen this owner's term is surely newer than all that.
+        if (m != null && m.inherited && !m.heard && r.token() < part.holding().takenTerm()) {
+            m.answeredAtMs = Math.max(m.answeredAtMs, out.now.steadyMs());
+            out.answer(request, 200, WorkerFormat.answer(part.term(), List.of()));
+            return;
+        }
+        // A late report's sender has given up on it, and of a copy nobody waits for the answer; the task list is as old
+        // as the report. A machine whose handover is on its way may hold the next owner's tasks already, which are not
+        // this one's to judge.
+        if (m == null || m.state == Machine.State.HANDING || r.session() <= m.endedSession || (m.heard && !r.newerThan(m.session, m.seq))) {
+            out.later(request);
+            return;
+        }
+        m.reported(r, out.now.steadyMs(), settings);
+        absorb(m, r);
+        List<WorkerOrder> orders = new ArrayList<>();
+        if (part.holds()) {
+            settle(m, r, orders);
+            if (m.recordedUsed && (m.cpusFree() > Tuning.EPSILON || m.gpusFree() > Tuning.EPSILON) && part.mayStart() && part.available(m)) {
+                start(m, orders);
+            }
+        }
+        m.repliedAtMs = out.now.steadyMs();
+        m.answeredAtMs = out.now.steadyMs();
+        out.answer(request, 200, WorkerFormat.answer(part.term(), orders));
+    }
+
+    private Machine adopt(WorkerReport r) {
+        MachineRecord record = index.get(r.machine());
+        if (record != null) {
+            return record.part() == part.n ? part.addMachine(r.machine(), record) : null;
+        }
+        // A late copy must not bring back a machine that was returned: one that no record shows and that has been
+        // answered before is taken on only when the cloud says that it is there.
+        if (part.fleet().isGone(r.machine()) || (r.token() > 0 && !part.fleet().isListed(r.machine()))) {
+            return null;
+        }
+        return part.add(r.machine(), types.get(r.type()), r.zone(), r.spot(), out.now.wallMs());
+    }
+
+    /** Takes over what the report says. */
+    private void absorb(Machine m, WorkerReport r) {
+        m.session = r.session();
+        m.seq = r.seq();
+        m.address = r.address();
+        m.noticeS = r.noticeS();
+        m.reportedAtMs = out.now.steadyMs();
+        m.heard = true;
+        if (m.state == Machine.State.BOOTING) {
+            m.state = Machine.State.UP;
+        }
+        if (!m.used) {
+            m.used = true;
+            part.records().changed(m.id);
+        }
+        ObjectOpenHashSet<String> shown = new ObjectOpenHashSet<>();
+        for (TaskReport t : r.tasks()) {
+            String key = Machine.taskKey(t.job(), t.index());
+            if (t.state() == TaskState.EXITED) {
+                exited(m, key, t);
+            } else {
+                shown.add(key);
+                present(m, key, t);
+            }
+        }
+        if (m.tasks.size() > shown.size()) {
+            for (Live live : m.tasksNow()) {
+                // A start answered to an older report is in this one, or was dropped and never happens.
+                if (!shown.contains(Machine.taskKey(live.job.id, live.index))) {
+                    book.remove(live);
+                }
+            }
+        }
+        if (!Double.isNaN(m.noticeS)) {
+            // The cloud takes the machine soon: what can save its progress does so now and goes on elsewhere.
+            for (Live live : m.tasks.values()) {
+                if (live.job.spec.checkpointS() > 0 && live.state == Live.State.RUNNING && live.job.spec.saveS() < m.noticeS) {
+                    live.stopping = true;
+                }
+            }
+        }
+        m.idleSinceMs = !m.tasks.isEmpty() ? -1 : m.idleSinceMs < 0 ? out.now.steadyMs() : m.idleSinceMs;
+    }
+
+    private void present(Machine m, String key, TaskReport t) {
+        Live live = m.tasks.get(key);
+        if (live != null && live.attempt != t.attempt()) {
+            book.remove(live);
+            live = null;
+        }
+        if (live == null) {
+            Job job = part.jobs().get(t.job());
+            boolean wanted = job != null && t.index() >= 0 && t.index() < job.spec.tasks() && !job.done.get(t.index()) && job.live.get(t.index()) == null;
+            live = new Live(job != null ? job : unwanted(m, t.job()), t.index(), t.attempt(), m, Live.State.RUNNING, out.now.steadyMs());
+            live.doomed = !wanted;
+            book.add(live, wanted);
+        }
+        live.state = switch (t.state()) {
+            case FETCHING -> Live.State.FETCHING;
+            case SAVING -> Live.State.SAVING;
+            default -> Live.State.RUNNING;
+        };
+        if (live.state == Live.State.RUNNING && live.runningSinceMs < 0) {
+            live.runningSinceMs = out.now.steadyMs();
+        }
+    }
+
+    /** A job that is cancelled, or unknown: then its tasks are taken to fill the machine. */
+    private Job unwanted(Machine m, String id) {
+        Mirror.Entry entry = mirror.get(Keys.job(id));
+        JobRecord record = entry == null ? null : JobRecord.read(entry.value());
+        JobSpec spec = record != null && record.spec() != null ? record.description()
+                : new JobSpec(id, "", "", JobSpec.Priority.LOW, Tuning.MAX_TASKS, m.type.cpus(), m.type.gpus(), m.type.memGb(), "", 0, null, null,
+                        false, false, true, 1, 0, 0, Double.NaN);
+        Job job = new Job(id, spec, out.now.wallMs());
+        job.closed = true;
+        return job;
+    }
+
+    private void exited(Machine m, String key, TaskReport t) {
+        Live live = m.tasks.get(key);
+        boolean ours = live != null && live.attempt == t.attempt();
+        Job job = part.jobs().get(t.job());
+        if (t.cause() == Cause.DONE) {
+            m.failedJobs.clear();
+            if (ours && job != null && live.runningSinceMs >= 0) {
+                double ranS = (out.now.steadyMs() - live.runningSinceMs) / 1000.0;
+                if (job.observedCount() >= Tuning.PACE_TASKS && job.observedMeanS() >= Tuning.PACE_LEAST_S) {
+                    m.ran(ranS / job.observedMeanS());
+                }
+                part.estimates().observed(job, ranS);
+            }
+            if (job != null && t.index() >= 0 && t.index() < job.spec.tasks() && !job.done.get(t.index())) {
+                job.done.set(t.index());
+                job.setWaiting(t.index(), false);
+                part.finished(job);
+                Live elsewhere = job.live.get(t.index());
+                if (elsewhere != null && elsewhere != live) {
+                    elsewhere.doomed = true;
+                    part.halt(elsewhere, 0);
+                }
+            }
+        }
+        if (!ours) {
+            return;
+        }
+        if (t.cause() == Cause.ERROR && job != null) {
+            job.failed(m.id, out.now.steadyMs());
+            if (job.suspect()) {
+                part.machines().values().forEach(other -> other.failedJobs.remove(job.id));
+            } else {
+                m.failedJobs.add(job.id);
+            }
+        } else if (t.cause() == Cause.UNKNOWN && job != null) {
+            job.failed(m.id, out.now.steadyMs());
+        }
+        book.remove(live);
+    }
+
+    /** Commands that settle what the report shows: forget what is durable, stop what must not run. */
+    private void settle(Machine m, WorkerReport r, List<WorkerOrder> orders) {
+        for (TaskReport t : r.tasks()) {
+            if (t.state() == TaskState.EXITED && forgettable(t)) {
+                orders.add(new WorkerOrder(WorkerOrder.Kind.FORGET, t.job(), t.index(), t.attempt(), 0));
+            }
+        }
+        for (Live live : m.tasks.values()) {
+            if (live.doomed) {
+                orders.add(Part.stop(live, 0));
+            } else if (live.stopping && live.state != Live.State.SAVING) {
+                orders.add(Part.stop(live, Part.graceS(live)));
+            }
+        }
+    }
+
+    /** A finish may be forgotten when it, or its job's final state, is in the store. */
+    private boolean forgettable(TaskReport t) {
+        if (t.cause() != Cause.DONE) {
+            return true;
+        }
+        Job job = part.jobs().get(t.job());
+        if (job != null) {
+            return job.durable.get(t.index());
+        }
+        // Done jobs have left the view.
+        Mirror.Entry entry = mirror.get(Keys.job(t.job()));
+        return entry == null || JobRecord.read(entry.value()).status() != JobStatus.OPEN;
+    }
+
+    private void start(Machine m, List<WorkerOrder> orders) {
+        for (Planner.Placed p : placement.forMachine(m)) {
+            int index = -1;
+            for (int i = 0; i < p.count(); i++) {
+                index = p.job().waiting.nextSetBit(index + 1);
+                Live live = new Live(p.job(), index, part.term() << Tuning.ATTEMPT_BITS | nextAttempt++, m, Live.State.ASKED, out.now.steadyMs());
+                book.add(live, true);
+                p.job().startedCount++;
+                orders.add(new WorkerOrder(WorkerOrder.Kind.START, p.job().id, index, live.attempt, 0));
+            }
+        }
+    }
+}
--- a/src/main/java/org/shoreusher/core/UserDesk.java
+++ b/src/main/java/org/shoreusher/core/UserDesk.java
@@ -129,9 +129,7 @@
 
     private void accept(long request, JobSpec spec) {
         int part = roomiestPart.applyAsInt(spec);
-        Map<String, Map<String, Object>> writes = new LinkedHashMap<>();
-        writes.put(Keys.job(spec.id()), JobRecord.open(part, spec, out.now.wallMs()).write());
-        writes.put(Keys.open(part, spec.id()), Map.of());
+        Map<String, Map<String, Object>> writes = Map.of(Keys.job(spec.id()), JobRecord.open(part, spec, out.now.wallMs()).write());
         write(request, new StateOp.Multi(Map.of(Keys.job(spec.id()), 0L), writes), Tuning.WRITE_TRIES, reply -> {
             if (reply.status() == 200) {
                 out.answer(request, 201, UserFormat.status(spec.id(), Shown.PENDING));
@@ -164,9 +162,7 @@
         } else if (record.status() == JobStatus.CANCELLED) {
             out.answer(request, 200, UserFormat.status(id, Shown.CANCELLED));
         } else {
-            Map<String, Map<String, Object>> writes = new LinkedHashMap<>();
-            writes.put(Keys.job(id), record.ended(JobStatus.CANCELLED).write());
-            writes.put(Keys.open(record.part(), id), null);
+            Map<String, Map<String, Object>> writes = Map.of(Keys.job(id), record.ended(JobStatus.CANCELLED).write());
             write(request, new StateOp.Multi(Map.of(Keys.job(id), mirror.version(Keys.job(id))), writes), Tuning.WRITE_TRIES, reply -> {
                 if (reply.status() == 200) {
                     out.answer(request, 200, UserFormat.status(id, Shown.CANCELLED));
--- a/src/main/java/org/shoreusher/settings/Tuning.java
+++ b/src/main/java/org/shoreusher/settings/Tuning.java
@@ -46,6 +46,11 @@
     /** ms; a machine must have been idle for so long before it is handed to another part. */
     public static final long HANDOVER_IDLE_MS = 1_000;
 
+    /** ms; how often an owner looks over all of its machines and jobs; reports are answered in between. */
+    public static final long WALK_MS = 100;
+    /** machines times jobs that a plan may look at per ms since the last one: a plan of 300 free machines and 30 jobs took about a ms of a whole core. */
+    public static final long PLAN_STEPS_PER_MS = 400;
+
     // ---- state service -----------------------------------------------------------------------
     /** ms; a watch blocks this long, so the view's age is known to about this. */
     public static final long WATCH_BLOCK_MS = 2_000;
@@ -63,6 +68,10 @@
     public static final double OWNER_WRITE_SHARE = 0.6;
     /** records of finished tasks in one write, so that it stays below the 64 KiB of a transaction. */
     public static final int RECORDS_AT_ONCE = 8;
+    /** ms; pause between two writes of machines' records, in which more gather: at most 7 changes of groups a second and part. */
+    public static final long RECORDS_EVERY_MS = 150;
+    /** bytes; below this value limit ten machines share a record, else a hundred, which take up to 4,000. */
+    public static final int WIDE_GROUP_BYTES = 6_000;
     /** bytes that a job's name and framing take in such a record. */
     public static final int RECORD_FRAME = 24;
     /** bytes per task that a job's ranges may take when every other task is finished. */
@@ -89,6 +98,18 @@
     // ---- workers -----------------------------------------------------------------------------
     /** share of report_s after which a machine without report gets no plans. */
     public static final double QUIET_REPORTS = 2.5;
+    /** ms; a worker waits so long for an answer before it asks elsewhere (protocol). */
+    public static final long WORKER_PATIENCE_MS = 4_000;
+    /** ms; how much later than due a report may be without meaning that its worker had to ask elsewhere. */
+    public static final long REPORT_SLACK_MS = 1_000;
+    /** answers in a row that a worker seems not to have heard after which it counts as deaf; one may be lost by chance. */
+    public static final int DEAF_AFTER = 2;
+    /** share of a part's machines that may be deaf before the fault is looked for in this node's network, not in them. */
+    public static final double DEAF_SHARE = 0.25;
+    /** names of machines that are gone which an owner remembers, so that late copies of their reports bring none back. */
+    public static final int GONE_NAMES = 10_000;
+    /** ms; a machine taken for gone that lists still show after this, far beyond their lag, is there after all. */
+    public static final long GONE_STILL_LISTED_MS = 60_000;
     /** ms; pause between two direct halts of the same task. */
     public static final long HALT_AGAIN_MS = 2_000;
     /** ms; a direct call to a worker is given up after this. */
@@ -161,6 +182,8 @@
     public static final long IDLE_KEEP_ORDINARY_MS = 5_000;
     /** times the spot price up to which an ordinary machine is as good as a spot one. */
     public static final double ORDINARY_FACTOR = 1.5;
+    /** machines; so many more of a zone's spot machines there must be than ordinary ones for these to come first: never. */
+    public static final int ORDINARY_LAST = 1_000_000;
     /** machines lacking, as a share of those there, above which dearer ordinary ones are rented too. */
     public static final double ORDINARY_QUEUE = 0.5;
     /** ms; below this age a machine costs its minimum anyway (protocol: 60 s). */
--- a/src/test/java/org/shoreusher/model/UserModel.java
+++ b/src/test/java/org/shoreusher/model/UserModel.java
@@ -21,6 +21,7 @@
         boolean cancelAsked;
         boolean doneTold;
         long doneToldAt;
+        long answeredAt;
 
         Wish(JobSpec spec, boolean cancels, long runMs) {
             this.spec = spec;
--- a/src/test/java/org/shoreusher/model/World.java
+++ b/src/test/java/org/shoreusher/model/World.java
@@ -50,6 +50,12 @@
     private final Map<String, Long> cuts = new HashMap<>();
     private long orders;
     long now;
+    /** Late copies of reports that have come. */
+    int copies;
+    /** From here on no trouble goes on, and every question must find its answer. */
+    long quietFrom = Long.MAX_VALUE;
+    /** Told of every takeover, with the process that took the part. */
+    Consumer<Process> onTakeover = p -> { };
 
     World(long seed, Settings settings, int parts, Sabotage sabotage) {
         this.parts = parts;
@@ -236,6 +242,9 @@
                 }
             } else if (effect instanceof Effect.Log l) {
                 log.add(now + " " + host + " " + l.line());
+                if (l.line().startsWith("takeover")) {
+                    onTakeover.accept(this);
+                }
             }
         }
 
