--- a/src/main/java/org/shoreusher/core/Job.java
+++ b/src/main/java/org/shoreusher/core/Job.java
@@ -44,6 +44,11 @@
         }
     }
 
+    /** Whether any of its tasks has ever been on a machine, as far as this owner knows. */
+    boolean begun() {
+        return startedCount > 0 || !live.isEmpty() || !done.isEmpty();
+    }
+
     void observe(double seconds) {
         observedCount++;
         observedSumS += seconds;
--- a/src/main/java/org/shoreusher/core/Urgency.java
+++ b/src/main/java/org/shoreusher/core/Urgency.java
@@ -8,7 +8,7 @@
 /**
  * In which order jobs get machines. High priorities come first; among them, and among the rest, jobs that can still
  * meet one of the users' aims come before those that can't, and the one whose last chance to start is
- * nearest comes first.
+ * nearest comes first. Before all of them come jobs that have waited so long that they might be starved.
  */
 final class Urgency {
     /** Where a job stands at one moment; computed once per job and plan. */
@@ -73,8 +73,9 @@
         if (slack == Double.MAX_VALUE) {
             slack = Tuning.PATIENCE_S - ageS - needS;
         }
-        // Low jobs have aims with more time in them; side by side with normal ones each gets its turn in time.
-        int band = Math.min(job.spec.priority().ordinal(), JobSpec.Priority.NORMAL.ordinal());
+        // Low jobs have aims with more time in them; side by side with normal ones each gets its turn in time. A job that
+        // has not begun for long goes before all others, or urgent work that keeps coming would starve it.
+        int band = job.begun() || ageS < Tuning.STARVED_S ? Math.min(job.spec.priority().ordinal(), JobSpec.Priority.NORMAL.ordinal()) : -1;
         return new Rank(job, band, lateness, slack);
     }
 
--- a/src/test/java/org/shoreusher/core/OwnerPiecesTest.java
+++ b/src/test/java/org/shoreusher/core/OwnerPiecesTest.java
@@ -118,6 +118,21 @@
         assertEquals(List.of("wk-4", "wk-2", "wk-3", "wk-1"), jobs.stream().map(j -> j.id).toList());
     }
 
+    /** Urgent work that keeps coming must not keep a job, however large or low, from beginning within four minutes. */
+    @Example
+    void whatHasNotBegunForLongComesFirst() {
+        Urgency urgency = new Urgency(settings(List.of()), new Estimates());
+        Job large = job("wk-1", "large", JobSpec.Priority.LOW, 500, 30, Double.NaN, 0);
+        Job begun = job("wk-2", "large", JobSpec.Priority.LOW, 500, 30, Double.NaN, 0);
+        begun.startedCount = 1;
+        for (long now : new long[] {100_000, 200_000}) {
+            Job urgent = job("wk-3", "rush", JobSpec.Priority.PRODUCTION, 10, 10, Double.NaN, now - 1_000);
+            List<Job> jobs = new ArrayList<>(List.of(begun, large, urgent));
+            urgency.sort(jobs, now);
+            assertEquals(now < 150_000 ? "wk-3" : "wk-1", jobs.get(0).id);
+        }
+    }
+
     @Example
     void estimatesFollowWhatIsObserved() {
         Estimates estimates = new Estimates();
