--- a/src/main/java/org/shoreusher/cli/Service.java
+++ b/src/main/java/org/shoreusher/cli/Service.java
@@ -39,6 +39,8 @@
     private final Peers peers;
     private final FrontServer front;
     private boolean working;
+    private long tickedAtMs;
+    private long lateMs;
 
     public Service(Settings settings, String owner) {
         this.settings = settings;
@@ -47,7 +49,7 @@
         cloud = new CloudClient(loop, settings, this::mustTake);
         workers = new WorkerClient(loop);
         peers = new Peers(group, settings, this::take);
-        front = new FrontServer(group, settings, this::take);
+        front = new FrontServer(group, settings, this::take, this::lagMs);
     }
 
     /** Listens and works until the process ends. */
@@ -55,13 +57,30 @@
         front.listen();
         peers.listen();
         LOG.info("serving: {} in {}, front {}, back {}", settings.host(), settings.zone(), settings.front(), settings.back());
-        loop.scheduleWithFixedDelay(() -> take(new Command.Tick()), 0, Tuning.TICK_MS, TimeUnit.MILLISECONDS);
+        tickedAtMs = steadyMs();
+        loop.scheduleWithFixedDelay(this::tick, 0, Tuning.TICK_MS, TimeUnit.MILLISECONDS);
         if (LOG.isDebugEnabled()) {
             loop.scheduleAtFixedRate(() -> LOG.debug(front.latency()), Tuning.LATENCY_LINE_S, Tuning.LATENCY_LINE_S, TimeUnit.SECONDS);
         }
         group.terminationFuture().sync();
     }
 
+    private void tick() {
+        long now = steadyMs();
+        lateMs = Math.max(0, now - tickedAtMs - Tuning.TICK_MS);
+        tickedAtMs = now;
+        take(new Command.Tick());
+    }
+
+    /** ms by which this node is behind its work: how late the last tick came, or the next one is. */
+    private long lagMs() {
+        return Math.max(lateMs, steadyMs() - tickedAtMs - Tuning.TICK_MS);
+    }
+
+    private static long steadyMs() {
+        return TimeUnit.NANOSECONDS.toMillis(System.nanoTime());
+    }
+
     private boolean take(Command command) {
         if (!queue.offer(command)) {
             return false;
@@ -88,7 +107,7 @@
     private void work() {
         working = false;
         queue.drainTo(batch, Tuning.BATCH);
-        List<Effect> effects = node.step(new Reading(TimeUnit.NANOSECONDS.toMillis(System.nanoTime()), System.currentTimeMillis()), batch);
+        List<Effect> effects = node.step(new Reading(steadyMs(), System.currentTimeMillis()), batch);
         batch.clear();
         for (Effect effect : effects) {
             carryOut(effect);
--- a/src/main/java/org/shoreusher/settings/Tuning.java
+++ b/src/main/java/org/shoreusher/settings/Tuning.java
@@ -236,6 +236,10 @@
     public static final long STATUS_LINE_MS = 10_000;
     /** ms; the core's tick. */
     public static final long TICK_MS = 50;
+    /** ms; a node this far behind its work answers polls 503 at once: users wait 2 s for one, and workers 4 s. */
+    public static final long SHED_POLLS_MS = 500;
+    /** ms; a node this far behind refuses submissions and cancellations too: users wait 5 s for one. */
+    public static final long SHED_USERS_MS = 1_500;
     /** ms; how often peers are told hints. */
     public static final long HINT_MS = 500;
     /** ms; a peer whose hints have stopped for this long is quiet; they come every half second. */
--- a/src/main/java/org/shoreusher/user/FrontServer.java
+++ b/src/main/java/org/shoreusher/user/FrontServer.java
@@ -29,6 +29,7 @@
 import java.io.IOException;
 import java.util.Map;
 import java.util.concurrent.TimeUnit;
+import java.util.function.LongSupplier;
 import java.util.function.Predicate;
 import org.HdrHistogram.Histogram;
 import org.shoreusher.core.Command;
@@ -52,13 +53,18 @@
     private final EventLoopGroup loop;
     private final Settings settings;
     private final Predicate<Command> core;
+    private final LongSupplier lagMs;
     private final Long2ObjectOpenHashMap<Waiting> waiting = new Long2ObjectOpenHashMap<>();
     private final Histogram userLatency = new Histogram(TimeUnit.SECONDS.toMicros(Tuning.LATENCY_LINE_S), 2);
     private long nextRequest = 1;
     private int connections;
 
-    /** @param core takes a command, or refuses it when too many wait */
-    public FrontServer(EventLoopGroup loop, Settings settings, Predicate<Command> core) {
+    /**
+     * @param core takes a command, or refuses it when too many wait
+     * @param lagMs how far this node is behind its work
+     */
+    public FrontServer(EventLoopGroup loop, Settings settings, Predicate<Command> core, LongSupplier lagMs) {
+        this.lagMs = lagMs;
         this.loop = loop;
         this.settings = settings;
         this.core = core;
@@ -177,6 +183,11 @@
             }
             String path = http.uri();
             boolean user = path.startsWith(JOBS);
+            // A node that can't keep up serves its workers first, whose leases run; then submissions and cancellations, then polls.
+            if (user && lagMs.getAsLong() > (http.method().equals(HttpMethod.GET) ? Tuning.SHED_POLLS_MS : Tuning.SHED_USERS_MS)) {
+                send(ctx, keepAlive, 503, Map.of(), Tuning.RETRY_AFTER_S);
+                return;
+            }
             current = nextRequest++;
             Command command = command(ctx, keepAlive, http, path);
             if (command == null) {
