--- a/src/main/java/org/shoreusher/net/HttpCaller.java
+++ b/src/main/java/org/shoreusher/net/HttpCaller.java
@@ -42,10 +42,17 @@
     private final Address target;
     private final Bootstrap bootstrap;
     private final EventLoop loop;
+    private final int keep;
     private final ArrayDeque<Line> idle = new ArrayDeque<>();
     private int busy;
 
     public HttpCaller(EventLoop loop, Address target) {
+        this(loop, target, Tuning.POOL_IDLE);
+    }
+
+    /** @param keep idle connections to keep */
+    public HttpCaller(EventLoop loop, Address target, int keep) {
+        this.keep = keep;
         this.target = target;
         this.loop = loop;
         bootstrap = new Bootstrap().group(loop).channel(NioSocketChannel.class)
@@ -151,8 +158,7 @@
             if (status == 200 && body == null) {
                 body = Map.of();
             }
-            boolean keep = status != 0 && HttpUtil.isKeepAlive(response) && idle.size() < Tuning.POOL_IDLE;
-            if (keep) {
+            if (status != 0 && HttpUtil.isKeepAlive(response) && idle.size() < keep) {
                 idle.addLast(this);
             } else {
                 channel.close();
--- a/src/main/java/org/shoreusher/settings/Tuning.java
+++ b/src/main/java/org/shoreusher/settings/Tuning.java
@@ -210,8 +210,8 @@
     public static final int MAX_DEPTH = 32;
     /** connections that may wait to be accepted; a storm of reconnects comes within a second. */
     public static final int BACKLOG = 256;
-    /** workers with kept connections for direct commands; more simply connect anew. */
-    public static final int WORKERS_KEPT = 64;
+    /** direct commands to workers in flight at once, each on a connection of its own; within OWN_SOCKETS. */
+    public static final int ORDERS_AT_ONCE = 50;
     /** bytes; a longer hint of a peer is refused. */
     public static final int MAX_HINT = 256 * 1024;
     /** bytes; what the buffer of a hint begins with. */
