--- a/src/main/java/org/shoreusher/core/Holding.java
+++ b/src/main/java/org/shoreusher/core/Holding.java
@@ -51,7 +51,7 @@
         takenAtMs = out.now.steadyMs();
         lease = new PartLease(settings);
         lease.confirmed(record.expiryMs(), writtenAt);
-        nextRenewMs = writtenAt.steadyMs() + Tuning.HEARTBEAT_MS;
+        nextRenewMs = writtenAt.steadyMs() + PartLease.heartbeatMs(settings);
     }
 
     boolean lost() {
@@ -104,7 +104,7 @@
             return;
         }
         Reading sentAt = out.now;
-        long expiry = Math.max(lease.expiryWallMs(), sentAt.wallMs() + Tuning.LEASE_MS);
+        long expiry = Math.max(lease.expiryWallMs(), sentAt.wallMs() + PartLease.leaseMs(settings));
         FinishedRecords records = finished.get();
         Map<String, Map<String, Object>> writes = new LinkedHashMap<>();
         PartRecord record = new PartRecord(owner, expiry, term, records == null ? doneInStore() : records.chunk(0));
@@ -149,7 +149,7 @@
         if (reply.status() == 200) {
             recordVersion = mirror.applied(reply, writes);
             lease.confirmed(record.expiryMs(), sentAt);
-            nextRenewMs = sentAt.steadyMs() + Tuning.HEARTBEAT_MS;
+            nextRenewMs = sentAt.steadyMs() + PartLease.heartbeatMs(settings);
             if (lapsedLogged && holds()) {
                 lapsedLogged = false;
                 out.log("renewed: part " + n + " term " + term + " after a lapse, nobody had taken it");
--- a/src/main/java/org/shoreusher/core/Node.java
+++ b/src/main/java/org/shoreusher/core/Node.java
@@ -141,7 +141,7 @@
         long leftMs = record.expiryMs() - out.now.wallMs();
         Hint hint = hints.get(record.host());
         boolean quiet = hint == null || out.now.steadyMs() - hintedAt.get(record.host()) > Tuning.QUIET_PEER_MS;
-        return leftMs < 0 || (quiet && leftMs < Tuning.LEASE_MS - Tuning.HEARTBEAT_MS - Tuning.QUIET_PEER_MS);
+        return leftMs < 0 || (quiet && leftMs < PartLease.leaseMs(settings) - PartLease.heartbeatMs(settings) - Tuning.QUIET_PEER_MS);
     }
 
     /**
--- a/src/main/java/org/shoreusher/core/PartLease.java
+++ b/src/main/java/org/shoreusher/core/PartLease.java
@@ -26,10 +26,24 @@
      * lease together stay below the time that a cancellation has.
      */
     static long graceMs(Settings s) {
-        double ms = s.cancelS() * 1000 - Tuning.LEASE_MS - Tuning.VIEW_STALE_MS / 3.0 - workerLeaseMs(s) - 2 * s.clockOffMs();
+        double ms = s.cancelS() * 1000 - leaseMs(s) - Tuning.VIEW_STALE_MS / 3.0 - workerLeaseMs(s) - 2 * s.clockOffMs();
         return Math.max(0, Math.min(Tuning.GRACE_MAX_MS, (long) ms));
     }
 
+    /**
+     * ms that a part's lease lasts without renewal. The design's time, but so much below the workers' leases that a taker
+     * can answer them before they end: where workers have 10 s, a lease of 9 s let every crash of an owner kill its tasks.
+     */
+    static long leaseMs(Settings s) {
+        double belowWorkers = s.workerLeaseS() * 1000 * Tuning.LEASE_OF_WORKERS;
+        return (long) Math.min(Tuning.LEASE_MS, Math.max(belowWorkers, Tuning.LEASE_SLACKS * (s.clockOffMs() + Tuning.LEASE_MARGIN_MS)));
+    }
+
+    /** ms between renewals: a third of the lease, so two may fail. */
+    static long heartbeatMs(Settings s) {
+        return leaseMs(s) / 3;
+    }
+
     /** ms after the last valid answer at which a worker's lease has surely ended. */
     static long workerLeaseMs(Settings s) {
         return (long) Math.ceil(s.workerLeaseS() * 1000 * (1 + Tuning.DRIFT)) + Tuning.SILENT_MARGIN_MS;
--- a/src/main/java/org/shoreusher/core/Parts.java
+++ b/src/main/java/org/shoreusher/core/Parts.java
@@ -127,7 +127,7 @@
         Mirror.Entry counter = mirror.get(Keys.TERM);
         long term = 1 + (counter == null ? 0 : ((Number) counter.value().get("term")).longValue());
         Reading sentAt = out.now;
-        PartRecord record = new PartRecord(owner, sentAt.wallMs() + Tuning.LEASE_MS, term, before == null ? Map.of() : before.done());
+        PartRecord record = new PartRecord(owner, sentAt.wallMs() + PartLease.leaseMs(settings), term, before == null ? Map.of() : before.done());
         Map<String, Long> guards = new LinkedHashMap<>();
         guards.put(Keys.part(n), mirror.version(Keys.part(n)));
         guards.put(Keys.TERM, mirror.version(Keys.TERM));
--- a/src/main/java/org/shoreusher/settings/Tuning.java
+++ b/src/main/java/org/shoreusher/settings/Tuning.java
@@ -11,8 +11,10 @@
     // ---- part leases -------------------------------------------------------------------------
     /** ms; how long a part's lease lasts without renewal. The design's value. */
     public static final long LEASE_MS = 9_000;
-    /** ms; a heartbeat renews every third of the lease, so two may fail. */
-    public static final long HEARTBEAT_MS = LEASE_MS / 3;
+    /** share of the workers' leases that a part's lease takes at most: what is left is for the takeover and a round of reports. */
+    public static final double LEASE_OF_WORKERS = 0.65;
+    /** times the clocks' bound and margin that a part's lease is at least, however short the workers' are. */
+    public static final int LEASE_SLACKS = 6;
     /** ms; a heartbeat that got no answer is tried again after this, well inside the lease. */
     public static final long HEARTBEAT_RETRY_MS = 400;
     /** ms; owner stops this early and taker waits this long on top of the clocks' bound. */
--- a/src/test/java/org/shoreusher/core/PiecesTest.java
+++ b/src/test/java/org/shoreusher/core/PiecesTest.java
@@ -67,13 +67,13 @@
         PartLease lease = new PartLease(s);
         long written = 1_000_000;
         long ownerOff = r.nextInt(2 * off + 1) - off;
-        lease.confirmed(written + ownerOff + Tuning.LEASE_MS, new Reading(0, written + ownerOff));
-        for (long t = 0; t < Tuning.LEASE_MS + 4_000; t += 13) {
+        lease.confirmed(written + ownerOff + PartLease.leaseMs(s), new Reading(0, written + ownerOff));
+        for (long t = 0; t < PartLease.leaseMs(s) + 4_000; t += 13) {
             // The time of day wanders inside its bound; the steady clock may be up to 0.05% fast.
             long ownerWall = written + t + r.nextInt(2 * off + 1) - off;
             long takerWall = written + t + r.nextInt(2 * off + 1) - off;
             boolean acts = lease.holds(new Reading((long) (t * 1.0005), ownerWall));
-            boolean taken = PartLease.free(s, written + ownerOff + Tuning.LEASE_MS, new Reading(0, takerWall));
+            boolean taken = PartLease.free(s, written + ownerOff + PartLease.leaseMs(s), new Reading(0, takerWall));
             assertFalse(acts && taken, "both at " + t);
         }
     }
@@ -85,7 +85,7 @@
         Settings s = settings(off, workerLease, cancel);
         long grace = PartLease.graceMs(s);
         assertTrue(grace >= 0);
-        assertTrue(grace == 0 || Tuning.LEASE_MS + grace + PartLease.workerLeaseMs(s) + 2 * off <= cancel * 1000L);
+        assertTrue(grace == 0 || PartLease.leaseMs(s) + grace + PartLease.workerLeaseMs(s) + 2 * off <= cancel * 1000L);
     }
 
     /** Plans exceed no machine and no team limit, and respect zones and kinds. */
--- a/src/test/java/org/shoreusher/model/World.java
+++ b/src/test/java/org/shoreusher/model/World.java
@@ -103,7 +103,7 @@
     void send(String from, String to, Runnable arrive) {
         long delay = 1 + random.nextInt(8);
         // More of them where late answers are to do harm.
-        if (random.nextInt(sabotage == Sabotage.LATE_ANSWERS_EXECUTED ? 30 : 500) == 0) {
+        if (random.nextInt(sabotage == Sabotage.LATE_ANSWERS_EXECUTED ? 12 : 500) == 0) {
             delay += 2_000 + random.nextInt(4_000);
         }
         long until = cuts.getOrDefault(pair(from, to), 0L);
