--- a/src/main/java/org/shoreusher/core/Job.java
+++ b/src/main/java/org/shoreusher/core/Job.java
@@ -18,8 +18,6 @@
     /** Where each live task is; tasks that are only being hunted down are not here. */
     final Int2ObjectOpenHashMap<Live> live = new Int2ObjectOpenHashMap<>();
     final ObjectOpenHashSet<String> failedOn = new ObjectOpenHashSet<>();
-    /** Whether it fitted into its team's guarantee, together with the team's earlier open jobs, when it came. */
-    boolean guaranteed;
     /** Which record of finished tasks this job is in. */
     int chunk = -1;
     int waitingCount;
--- a/src/main/java/org/shoreusher/core/Part.java
+++ b/src/main/java/org/shoreusher/core/Part.java
@@ -9,7 +9,6 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
-import java.util.TreeMap;
 import org.shoreusher.core.Effect.StateOp;
 import org.shoreusher.core.Hint.Claim;
 import org.shoreusher.core.Hint.PartHint;
@@ -314,14 +313,12 @@
 
     private void load() {
         loaded = true;
-        TreeMap<Long, List<String>> byAge = new TreeMap<>();
         mirror.under(Keys.JOB).forEach((key, entry) -> {
             JobRecord record = JobRecord.read(entry.value());
             if (record.part() == n && record.status() == JobStatus.OPEN) {
-                byAge.computeIfAbsent(record.acceptedMs(), at -> new ArrayList<>()).add(key);
+                addJob(key.substring(Keys.JOB.length()), record);
             }
         });
-        byAge.values().forEach(keys -> keys.forEach(key -> addJob(key.substring(Keys.JOB.length()), JobRecord.read(mirror.get(key).value()))));
         readDone(PartRecord.read(mirror.get(Keys.part(n)).value()).done(), 0);
         for (int c = 1; mirror.get(Keys.done(n, c)) != null; c++) {
             @SuppressWarnings("unchecked")
@@ -435,10 +432,6 @@
         Job job = new Job(id, record.description(), record.acceptedMs());
         job.closed = record.status() != JobStatus.OPEN;
         if (!job.closed) {
-            Settings.Team team = settings.teams().get(job.spec.team());
-            double earlier = jobs.values().stream().filter(j -> j.spec.team().equals(job.spec.team()) && j.acceptedMs <= job.acceptedMs)
-                    .mapToDouble(j -> j.spec.tasks() * j.spec.cpus()).sum();
-            job.guaranteed = team != null && earlier + job.spec.tasks() * job.spec.cpus() <= team.cpus();
             jobs.put(id, job);
         }
         return job;
--- a/src/main/java/org/shoreusher/core/Urgency.java
+++ b/src/main/java/org/shoreusher/core/Urgency.java
@@ -65,8 +65,7 @@
         for (Settings.Objective o : settings.objectives()) {
             double s = slackS(o, job, ageS, needS);
             if (s < 0) {
-                // Who waits although it is guaranteed need not wait behind others for it.
-                lateness += o.kind().equals("guarantee") ? 0 : 1;
+                lateness++;
             } else {
                 slack = Math.min(slack, s);
             }
@@ -76,9 +75,7 @@
         }
         // Low jobs have aims with more time in them; side by side with normal ones each gets its turn in time. A job that
         // has not begun for long goes before all others, or urgent work that keeps coming would starve it.
-        // Within its guarantee a team need not wait for others, so its jobs stand beside the high ones.
-        JobSpec.Priority lowest = job.guaranteed ? JobSpec.Priority.HIGH : JobSpec.Priority.NORMAL;
-        int band = job.begun() || ageS < Tuning.STARVED_S ? Math.min(job.spec.priority().ordinal(), lowest.ordinal()) : -1;
+        int band = job.begun() || ageS < Tuning.STARVED_S ? Math.min(job.spec.priority().ordinal(), JobSpec.Priority.NORMAL.ordinal()) : -1;
         return new Rank(job, band, lateness, slack);
     }
 
@@ -91,7 +88,6 @@
             case "deadline" -> Double.isNaN(job.spec.deadlineS()) ? Double.MAX_VALUE : job.spec.deadlineS() * o.times() - ageS - needS;
             case "finished" -> o.withinS() - ageS - needS;
             case "wait" -> job.startedCount > 0 && job.startedCount >= atOnce(job) ? Double.MAX_VALUE : o.withinS() - ageS;
-            case "guarantee" -> !job.guaranteed || job.startedCount >= job.spec.tasks() ? Double.MAX_VALUE : o.withinS() - ageS;
             default -> Double.MAX_VALUE;
         };
     }
