--- a/src/main/java/org/shoreusher/core/Urgency.java
+++ b/src/main/java/org/shoreusher/core/Urgency.java
@@ -1,5 +1,6 @@
 package org.shoreusher.core;
 
+import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.List;
 import org.shoreusher.settings.Settings;
@@ -11,8 +12,18 @@
  * nearest comes first. Before all of them come jobs that have waited so long that they might be starved.
  */
 final class Urgency {
-    /** Where a job stands at one moment; computed once per job and plan. */
-    private record Rank(Job job, int band, int lateness, double slackS) {
+    /**
+     * Where a job stands at one moment; computed once per job and plan.
+     *
+     * @param band     priorities that come one after the other
+     * @param lateness aims that are out of reach already
+     * @param slackS   seconds until it must start for the next one
+     */
+    record Rank(Job job, int band, int lateness, double slackS) {
+        /** Whether another job may go first when that saves fetching an image. */
+        boolean mayYieldTo(Rank other) {
+            return slackS > Tuning.AFFINITY_SLACK_S && other.band == band && other.lateness == lateness;
+        }
     }
 
     private final Settings settings;
@@ -23,17 +34,15 @@
         this.estimates = estimates;
     }
 
-    /** Sorts the jobs, most pressing first. */
-    void sort(List<Job> jobs, long wallMs) {
-        List<Rank> ranks = new java.util.ArrayList<>(jobs.size());
+    /** The jobs, most pressing first. */
+    List<Rank> sorted(Iterable<Job> jobs, long wallMs) {
+        List<Rank> ranks = new ArrayList<>();
         for (Job job : jobs) {
             ranks.add(rank(job, wallMs));
         }
         ranks.sort(Comparator.comparingInt(Rank::band).thenComparingInt(Rank::lateness).thenComparingDouble(Rank::slackS)
                 .thenComparing(r -> r.job().id));
-        for (int i = 0; i < ranks.size(); i++) {
-            jobs.set(i, ranks.get(i).job());
-        }
+        return ranks;
     }
 
     /** Seconds within which the job must be through to meet the nearest aim it still can; MAX_VALUE if none is left. */
