--- a/src/main/java/org/shoreusher/core/Placement.java
+++ b/src/main/java/org/shoreusher/core/Placement.java
@@ -1,6 +1,6 @@
 package org.shoreusher.core;
 
-import it.unimi.dsi.fastutil.objects.Object2ObjectLinkedOpenHashMap;
+import it.unimi.dsi.fastutil.objects.Object2IntOpenHashMap;
 import it.unimi.dsi.fastutil.objects.Object2ObjectOpenHashMap;
 import it.unimi.dsi.fastutil.objects.ObjectOpenHashSet;
 import java.util.ArrayList;
@@ -14,22 +14,25 @@
  * passed as its making is worth: a small deployment plans for every report, a large one a few times a second.
  */
 final class Placement {
-    /** Tasks of a job that no machine had room for. */
-    private static final class Rest {
+    /** A job with waiting tasks, and how many of them no machine had room for. */
+    private static final class Queued {
         final Urgency.Rank rank;
-        int count;
+        final Job job;
+        int rest;
 
-        Rest(Urgency.Rank rank, int count) {
+        Queued(Urgency.Rank rank, int rest) {
             this.rank = rank;
-            this.count = count;
+            this.job = rank.job();
+            this.rest = rest;
         }
     }
 
     private final Part part;
     private final Outbox out;
-    private final Object2ObjectOpenHashMap<Machine, List<Planner.Placed>> shares = new Object2ObjectOpenHashMap<>();
-    /** What no machine had room for, most pressing first. */
-    private final Object2ObjectLinkedOpenHashMap<Job, Rest> rest = new Object2ObjectLinkedOpenHashMap<>();
+    /** What the plan puts on each machine, by job. */
+    private final Object2ObjectOpenHashMap<Machine, Object2IntOpenHashMap<Job>> shares = new Object2ObjectOpenHashMap<>();
+    /** Jobs with waiting tasks, most pressing first. */
+    private final List<Queued> queue = new ArrayList<>();
     private long nextMs = Long.MIN_VALUE;
 
     Placement(Part part, Outbox out) {
@@ -42,80 +45,65 @@
         if (out.now.steadyMs() >= nextMs) {
             plan();
         }
-        List<Planner.Placed> share = shares.remove(m);
-        if (share == null && rest.isEmpty()) {
-            return List.of();
-        }
-        // What has changed since the plan, on this machine, in the team's use or in the job, is looked at again. A job
-        // is placed once, its share and its rest together: the planner does not see what it has placed itself.
+        Object2IntOpenHashMap<Job> share = shares.remove(m);
+        Object2IntOpenHashMap<Job> mine = share == null ? new Object2IntOpenHashMap<>() : share;
+        // What has changed since the plan, on this machine, in the team's use or in the job, is looked at again. A job is
+        // placed once, since the planner does not see what it has placed itself.
         Planner now = new Planner(new ArrayList<>(List.of(new Planner.Slot(m))), part::cpusLeft, part::gpusLeft);
-        Set<Job> tried = new ObjectOpenHashSet<>();
-        if (share != null) {
-            for (Planner.Placed p : share) {
-                tried.add(p.job());
-                place(now, p.job(), p.count());
-            }
-        }
-        for (Job job = next(m, tried); job != null && now.hasRoom(); job = next(m, tried)) {
-            tried.add(job);
-            place(now, job, 0);
+        Set<Queued> tried = new ObjectOpenHashSet<>();
+        for (Queued q = next(m, mine, tried); q != null && now.hasRoom(); q = next(m, mine, tried)) {
+            tried.add(q);
+            int planned = mine.removeInt(q.job);
+            int before = now.placed().size();
+            now.place(q.job, Math.min(q.job.waitingCount, planned + q.rest > 0 ? planned + q.rest : q.job.waitingCount));
+            int placed = now.placed().size() > before ? now.placed().get(before).count() : 0;
+            q.rest = Math.max(0, q.rest + planned - placed);
         }
+        // What gave way to another job goes to the next machine with room.
+        queue.forEach(q -> q.rest += mine.getInt(q.job));
         return now.placed();
     }
 
     /**
-     * The job of the rest that a machine should take next: the most pressing one, unless it can wait and another one
-     * beside it needs an image that the machine has. Where a fetch takes a third of a task's time, a machine that takes
-     * whatever comes first spends a seventh of its time on fetching.
+     * The job that a machine should take next: the most pressing one that the plan has for it or that found no room,
+     * unless that one can wait and another one beside it needs an image that the machine has. Where a fetch takes a third
+     * of a task's time, machines that take whatever comes first spend a seventh of their time on fetching.
      */
-    private Job next(Machine m, Set<Job> tried) {
-        Urgency.Rank first = null;
-        for (Rest r : rest.values()) {
-            if (tried.contains(r.rank.job()) || r.rank.job().spec.cpus() > m.cpusFree() + Tuning.EPSILON) {
+    private Queued next(Machine m, Object2IntOpenHashMap<Job> mine, Set<Queued> tried) {
+        Queued first = null;
+        for (Queued q : queue) {
+            if (q.job.waitingCount == 0 || tried.contains(q) || q.job.spec.cpus() > m.cpusFree() + Tuning.EPSILON) {
                 continue;
             }
-            if (first != null && !first.mayYieldTo(r.rank)) {
+            boolean meant = q.rest > 0 || mine.containsKey(q.job);
+            if (first == null) {
+                if (meant && (m.images.contains(q.job.spec.image()) || !q.rank.canWait())) {
+                    return q;
+                }
+                first = meant ? q : null;
+            } else if (!first.rank.beside(q.rank)) {
                 break;
-            }
-            if (m.images.contains(r.rank.job().spec.image())) {
-                return r.rank.job();
-            }
-            first = first == null ? r.rank : first;
-        }
-        return first == null ? null : first.job();
-    }
-
-    /** Places a job's share of the machine and as much as fits of what found no room elsewhere. */
-    private void place(Planner now, Job job, int share) {
-        Rest left = rest.get(job);
-        int before = now.placed().size();
-        now.place(job, Math.min(share + (left == null ? 0 : left.count), job.waitingCount));
-        if (left != null) {
-            left.count -= now.placed().size() > before ? Math.max(0, now.placed().get(before).count() - share) : 0;
-            if (left.count <= 0 || job.waitingCount == 0) {
-                rest.remove(job);
+            } else if (m.images.contains(q.job.spec.image())) {
+                return q;
             }
         }
+        return first;
     }
 
     private void plan() {
         shares.clear();
-        rest.clear();
-        List<Urgency.Rank> jobs = part.ranked();
-        if (jobs.isEmpty()) {
+        queue.clear();
+        List<Urgency.Rank> ranks = part.ranked();
+        if (ranks.isEmpty()) {
             return;
         }
         Planner planner = part.planner();
-        for (Urgency.Rank rank : jobs) {
-            Job job = rank.job();
-            int left = planner.place(job, job.waitingCount);
-            if (left > 0) {
-                rest.put(job, new Rest(rank, left));
-            }
+        for (Urgency.Rank rank : ranks) {
+            queue.add(new Queued(rank, planner.place(rank.job(), rank.job().waitingCount)));
         }
         for (Planner.Placed p : planner.placed()) {
-            shares.computeIfAbsent(p.slot().machine, m -> new ArrayList<>()).add(p);
+            shares.computeIfAbsent(p.slot().machine, m -> new Object2IntOpenHashMap<>()).addTo(p.job(), p.count());
         }
-        nextMs = out.now.steadyMs() + (planner.steps() + part.machines().size() + jobs.size()) / Tuning.PLAN_STEPS_PER_MS;
+        nextMs = out.now.steadyMs() + (planner.steps() + part.machines().size() + ranks.size()) / Tuning.PLAN_STEPS_PER_MS;
     }
 }
--- a/src/main/java/org/shoreusher/core/Urgency.java
+++ b/src/main/java/org/shoreusher/core/Urgency.java
@@ -21,8 +21,13 @@
      */
     record Rank(Job job, int band, int lateness, double slackS) {
         /** Whether another job may go first when that saves fetching an image. */
-        boolean mayYieldTo(Rank other) {
-            return slackS > Tuning.AFFINITY_SLACK_S && other.band == band && other.lateness == lateness;
+        boolean canWait() {
+            return slackS > Tuning.AFFINITY_SLACK_S;
+        }
+
+        /** Whether the other job is as important, its time aside. */
+        boolean beside(Rank other) {
+            return other.band == band && other.lateness == lateness;
         }
     }
 
