Failed try, reverted: machines go on with the images they have

Two versions (over what found no room; over the whole queue, while the most pressing job has 25 s of slack).

--- a/src/main/java/org/shoreusher/core/Part.java
+++ b/src/main/java/org/shoreusher/core/Part.java
@@ -487,18 +487,14 @@
 
     /** Jobs with waiting tasks, most pressing first. */
     List<Job> ordered() {
-        return ranked().stream().map(Urgency.Rank::job).toList();
-    }
-
-    /** The same, with where each of them stands. */
-    List<Urgency.Rank> ranked() {
         List<Job> list = new ArrayList<>();
         for (Job job : jobs.values()) {
             if (job.waitingCount > 0 && !job.closed && !job.paused(out.now.steadyMs())) {
                 list.add(job);
             }
         }
-        return urgency.sorted(list, out.now.wallMs());
+        urgency.sort(list, out.now.wallMs());
+        return list;
     }
 
     private void preempt() {
--- a/src/main/java/org/shoreusher/core/Urgency.java
+++ b/src/main/java/org/shoreusher/core/Urgency.java
@@ -1,6 +1,5 @@
 package org.shoreusher.core;
 
-import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.List;
 import org.shoreusher.settings.Settings;
@@ -12,23 +11,8 @@
  * nearest comes first. Before all of them come jobs that have waited so long that they might be starved.
  */
 final class Urgency {
-    /**
-     * Where a job stands at one moment; computed once per job and plan.
-     *
-     * @param band     priorities that come one after the other
-     * @param lateness aims that are out of reach already
-     * @param slackS   seconds until it must start for the next one
-     */
-    record Rank(Job job, int band, int lateness, double slackS) {
-        /** Whether another job may go first when that saves fetching an image. */
-        boolean canWait() {
-            return slackS > Tuning.AFFINITY_SLACK_S;
-        }
-
-        /** Whether the other job is as important, its time aside. */
-        boolean beside(Rank other) {
-            return other.band == band && other.lateness == lateness;
-        }
+    /** Where a job stands at one moment; computed once per job and plan. */
+    private record Rank(Job job, int band, int lateness, double slackS) {
     }
 
     private final Settings settings;
@@ -39,15 +23,17 @@
         this.estimates = estimates;
     }
 
-    /** The jobs, most pressing first. */
-    List<Rank> sorted(Iterable<Job> jobs, long wallMs) {
-        List<Rank> ranks = new ArrayList<>();
+    /** Sorts the jobs, most pressing first. */
+    void sort(List<Job> jobs, long wallMs) {
+        List<Rank> ranks = new java.util.ArrayList<>(jobs.size());
         for (Job job : jobs) {
             ranks.add(rank(job, wallMs));
         }
         ranks.sort(Comparator.comparingInt(Rank::band).thenComparingInt(Rank::lateness).thenComparingDouble(Rank::slackS)
                 .thenComparing(r -> r.job().id));
-        return ranks;
+        for (int i = 0; i < ranks.size(); i++) {
+            jobs.set(i, ranks.get(i).job());
+        }
     }
 
     /** Seconds within which the job must be through to meet the nearest aim it still can; MAX_VALUE if none is left. */
--- a/src/main/java/org/shoreusher/settings/Tuning.java
+++ b/src/main/java/org/shoreusher/settings/Tuning.java
@@ -132,8 +132,6 @@
     public static final double PATIENCE_S = 600;
     /** s; a job of which nothing has begun for so long goes before all others: even the largest must begin within 240 s. */
     public static final double STARVED_S = 150;
-    /** s; a job whose last chance to start is further away lets one go first that needs no image fetched. */
-    public static final double AFFINITY_SLACK_S = 25;
     /** CPUs or GB; sums of decimal amounts are compared with this slack. */
     public static final double EPSILON = 1e-9;
     /** CPUs; a part of which nothing is heard gets jobs only if all others are far behind. */
--- a/src/test/java/org/shoreusher/core/OwnerPiecesTest.java
+++ b/src/test/java/org/shoreusher/core/OwnerPiecesTest.java
@@ -114,7 +114,8 @@
         Job relaxed = job("wk-3", "slow", JobSpec.Priority.LOW, 1, 30, Double.NaN, 0);
         Job high = job("wk-4", "other", JobSpec.Priority.HIGH, 1, 30, Double.NaN, 0);
         List<Job> jobs = new ArrayList<>(List.of(late, relaxed, soon, high));
-        assertEquals(List.of("wk-4", "wk-2", "wk-3", "wk-1"), urgency.sorted(jobs, 30_000).stream().map(r -> r.job().id).toList());
+        urgency.sort(jobs, 30_000);
+        assertEquals(List.of("wk-4", "wk-2", "wk-3", "wk-1"), jobs.stream().map(j -> j.id).toList());
     }
 
     /** Urgent work that keeps coming must not keep a job, however large or low, from beginning within four minutes. */
@@ -127,7 +128,8 @@
         for (long now : new long[] {100_000, 200_000}) {
             Job urgent = job("wk-3", "rush", JobSpec.Priority.PRODUCTION, 10, 10, Double.NaN, now - 1_000);
             List<Job> jobs = new ArrayList<>(List.of(begun, large, urgent));
-            assertEquals(now < 150_000 ? "wk-3" : "wk-1", urgency.sorted(jobs, now).get(0).job().id);
+            urgency.sort(jobs, now);
+            assertEquals(now < 150_000 ? "wk-3" : "wk-1", jobs.get(0).id);
         }
     }
 
