--- a/src/main/java/org/shoreusher/settings/Tuning.java
+++ b/src/main/java/org/shoreusher/settings/Tuning.java
@@ -182,6 +182,12 @@
     public static final int RETURN_AT_ONCE = 100;
     /** ms; an idle machine is kept this long for work to come. */
     public static final long IDLE_KEEP_MS = 20_000;
+    /** idle machines that are kept so long; what is idle beyond them goes back sooner. */
+    public static final int IDLE_RESERVE = 16;
+    /** the same as a share of a large fleet. */
+    public static final double IDLE_RESERVE_SHARE = 0.05;
+    /** share of its boot time that an idle machine beyond the reserve is kept. */
+    public static final double IDLE_KEEP_OF_BOOT = 0.3;
     /** ms; the same for an ordinary machine, which costs more to keep. */
     public static final long IDLE_KEEP_ORDINARY_MS = 5_000;
     /** times the spot price up to which an ordinary machine is as good as a spot one. */
