--- a/src/main/java/org/shoreusher/settings/Tuning.java
+++ b/src/main/java/org/shoreusher/settings/Tuning.java
@@ -189,7 +189,7 @@
     /** machines; so many more of a zone's spot machines there must be than ordinary ones for these to come first: never. */
     public static final int ORDINARY_LAST = 1_000_000;
     /** machines lacking, as a share of those there, above which dearer ordinary ones are rented too. */
-    public static final double ORDINARY_QUEUE = 0.5;
+    public static final double ORDINARY_QUEUE = 1.5;
     /** ms; below this age a machine costs its minimum anyway (protocol: 60 s). */
     public static final long MIN_CHARGE_MS = 60_000;
     /** s; work without an aim in reach is rented for so that it takes about this long. */
