--- a/src/main/java/org/shoreusher/core/Fleet.java
+++ b/src/main/java/org/shoreusher/core/Fleet.java
@@ -331,19 +331,9 @@
     }
 
     private void returnIdle(Set<Machine> needed) {
-        List<Machine> idle = new ArrayList<>();
         for (Machine m : part.machines().values()) {
-            if (m.state == Machine.State.UP && m.tasks.isEmpty() && !needed.contains(m) && m.idleSinceMs >= 0) {
-                idle.add(m);
-            }
-        }
-        idle.sort(Comparator.comparingLong((Machine m) -> m.idleSinceMs).thenComparing(m -> m.id));
-        // In a large fleet so many run empty at once that most of them will not be missed.
-        int surplus = idle.size() - (int) Math.max(Tuning.IDLE_RESERVE, part.machines().size() * Tuning.IDLE_RESERVE_SHARE);
-        for (int i = 0; i < idle.size(); i++) {
-            Machine m = idle.get(i);
-            double keep = !m.spot ? Tuning.IDLE_KEEP_ORDINARY_MS : i < surplus ? m.type.bootS() * 1000 * Tuning.IDLE_KEEP_OF_BOOT : Tuning.IDLE_KEEP_MS;
-            if (out.now.steadyMs() - m.idleSinceMs > Math.min(keep, Tuning.IDLE_KEEP_MS)) {
+            if (m.state == Machine.State.UP && m.tasks.isEmpty() && !needed.contains(m) && m.idleSinceMs >= 0
+                    && out.now.steadyMs() - m.idleSinceMs > (m.spot ? Tuning.IDLE_KEEP_MS : Tuning.IDLE_KEEP_ORDINARY_MS)) {
                 m.state = Machine.State.DRAINING;
             }
         }
--- a/src/main/java/org/shoreusher/settings/Tuning.java
+++ b/src/main/java/org/shoreusher/settings/Tuning.java
@@ -182,12 +182,6 @@
     public static final int RETURN_AT_ONCE = 100;
     /** ms; an idle machine is kept this long for work to come. */
     public static final long IDLE_KEEP_MS = 20_000;
-    /** idle machines that are kept so long; what is idle beyond them goes back sooner. */
-    public static final int IDLE_RESERVE = 16;
-    /** the same as a share of a large fleet. */
-    public static final double IDLE_RESERVE_SHARE = 0.05;
-    /** share of its boot time that an idle machine beyond the reserve is kept. */
-    public static final double IDLE_KEEP_OF_BOOT = 0.3;
     /** ms; the same for an ordinary machine, which costs more to keep. */
     public static final long IDLE_KEEP_ORDINARY_MS = 5_000;
     /** times the spot price up to which an ordinary machine is as good as a spot one. */
@@ -195,7 +189,7 @@
     /** machines; so many more of a zone's spot machines there must be than ordinary ones for these to come first: never. */
     public static final int ORDINARY_LAST = 1_000_000;
     /** machines lacking, as a share of those there, above which dearer ordinary ones are rented too. */
-    public static final double ORDINARY_QUEUE = 1.5;
+    public static final double ORDINARY_QUEUE = 0.5;
     /** ms; below this age a machine costs its minimum anyway (protocol: 60 s). */
     public static final long MIN_CHARGE_MS = 60_000;
     /** s; work without an aim in reach is rented for so that it takes about this long. */
