Machines whose return is refused work again; a bound on tasks per machine

A return that was refused every time has not been carried out, so the machine takes work again; one without an answer stays out. Reports and answers of machines with hundreds of small tasks stay below 64 KiB. Tests for both kinds of refusal, for copies of returned machines' reports and former sessions.

--- a/src/main/java/org/shoreusher/core/Fleet.java
+++ b/src/main/java/org/shoreusher/core/Fleet.java
@@ -335,6 +335,7 @@
             if (m.state == Machine.State.UP && m.tasks.isEmpty() && !needed.contains(m) && m.idleSinceMs >= 0
                     && out.now.steadyMs() - m.idleSinceMs > (m.spot ? Tuning.IDLE_KEEP_MS : Tuning.IDLE_KEEP_ORDINARY_MS)) {
                 m.state = Machine.State.DRAINING;
+                m.unneeded = true;
             }
         }
     }
@@ -358,6 +359,7 @@
             returning = false;
             if (reply.status() != 200) {
                 nextReturnMs = out.now.steadyMs() + Tuning.CLOUD_RETRY_MS;
+                ids.forEach(id -> stillThere(part.machines().get(id), reply.status()));
                 return;
             }
             for (String id : ids) {
@@ -369,6 +371,21 @@
         });
     }
 
+    /**
+     * A return was not confirmed. If it was refused, so were all before it, and the machine was only not needed, it is as
+     * good as ever: while the cloud's interface is down for a minute, work must not wait beside machines that wait for it.
+     */
+    private void stillThere(Machine m, int status) {
+        if (m == null) {
+            return;
+        }
+        m.returnUnknown |= status != 503 && status != 429;
+        if (m.unneeded && !m.returnUnknown) {
+            m.state = Machine.State.UP;
+            m.unneeded = false;
+        }
+    }
+
     // ---- the machine list --------------------------------------------------------------------
 
     private void list() {
--- a/src/main/java/org/shoreusher/core/Machine.java
+++ b/src/main/java/org/shoreusher/core/Machine.java
@@ -52,12 +52,18 @@
     boolean recordedUsed;
     /** Given no more tasks, so that it runs empty and can be handed to a part that lacks machines. */
     boolean yielding;
+    /** Whether it is being returned only because there was no work for it. */
+    boolean unneeded;
+    /** Whether a return of it may yet be carried out: it got no answer. */
+    boolean returnUnknown;
     /** The part that it is being handed to. */
     int handTo;
     double noticeS = Double.NaN;
     long idleSinceMs = -1;
     private double pace = 1;
     private int paced;
+    /** Tasks in its newest report, those that have exited included. */
+    int shown;
     double cpusUsed;
     double gpusUsed;
     double memUsed;
--- a/src/main/java/org/shoreusher/core/Reports.java
+++ b/src/main/java/org/shoreusher/core/Reports.java
@@ -110,6 +110,7 @@
             m.used = true;
             part.records().changed(m.id);
         }
+        m.shown = r.tasks().size();
         ObjectOpenHashSet<String> shown = new ObjectOpenHashSet<>();
         for (TaskReport t : r.tasks()) {
             String key = Machine.taskKey(t.job(), t.index());
@@ -245,9 +246,11 @@
     }
 
     private void start(Machine m, List<WorkerOrder> orders) {
+        // Answer and report have a bound on their size, whatever small tasks a large machine could hold.
+        int room = Tuning.MOST_TASKS_ON_MACHINE - Math.max(m.tasks.size(), m.shown);
         for (Planner.Placed p : placement.forMachine(m)) {
             int index = -1;
-            for (int i = 0; i < p.count(); i++) {
+            for (int i = 0; i < p.count() && room > 0; i++, room--) {
                 index = p.job().waiting.nextSetBit(index + 1);
                 Live live = new Live(p.job(), index, part.term() << Tuning.ATTEMPT_BITS | nextAttempt++, m, Live.State.ASKED, out.now.steadyMs());
                 book.add(live, true);
--- a/src/main/java/org/shoreusher/settings/Tuning.java
+++ b/src/main/java/org/shoreusher/settings/Tuning.java
@@ -112,6 +112,8 @@
     public static final int GONE_NAMES = 10_000;
     /** ms; a machine taken for gone that lists still show after this, far beyond their lag, is there after all. */
     public static final long GONE_STILL_LISTED_MS = 60_000;
+    /** tasks on a machine, exited ones that it still shows included; 90 bytes each keep report and answer below 64 KiB. */
+    public static final int MOST_TASKS_ON_MACHINE = 500;
     /** ms; pause between two direct halts of the same task. */
     public static final long HALT_AGAIN_MS = 2_000;
     /** ms; a direct call to a worker is given up after this. */
--- /dev/null
+++ b/src/test/java/org/shoreusher/model/ReportsTest.java
@@ -0,0 +1,126 @@
+package org.shoreusher.model;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertNull;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import net.jqwik.api.Example;
+import org.shoreusher.core.Command;
+import org.shoreusher.core.Effect.CloudOp;
+import org.shoreusher.core.WorkerReport.Cause;
+import org.shoreusher.core.WorkerReport.TaskReport;
+import org.shoreusher.core.WorkerReport.TaskState;
+
+/** What an owner makes of reports that come late, as copies, or from machines on their way out. */
+class ReportsTest {
+    private final SingleNode node = new SingleNode();
+
+    /**
+     * A report that the network held up since before a takeover does not show what the former owner started after
+     * it was made. Taken as fresh, it would let the new owner start a task that is on a machine already.
+     */
+    @Example
+    void aReportFromBeforeTheTakeoverDoesNotCountAsHeard() {
+        node.openJob("wk-1", 1);
+        node.left("host-2", "host-1");
+        node.steps(20);
+        assertEquals(List.of(), node.report("host-2", 10, 5), "held since before the takeover: answered, but nothing may start");
+        assertEquals(List.of(), node.report("host-1", 20, 5));
+        assertEquals(List.of(), node.report("host-1", 21, 6), "host-2 has not been heard yet");
+        node.steps(3);
+        assertEquals(List.of(), node.report("host-1", 22, 6));
+        assertEquals(List.of(), node.report("host-2", 12, 6, new TaskReport("wk-1", 0, 1, TaskState.RUNNING, Cause.NONE)));
+        node.steps(3);
+        assertEquals(List.of(), node.report("host-1", 23, 6), "the task is on host-2");
+        assertEquals(List.of(), node.report("host-2", 13, 6, new TaskReport("wk-1", 0, 1, TaskState.EXITED, Cause.STOPPED)).stream().filter(v -> v.equals("halt")).toList());
+        node.steps(3);
+        List<String> later = new ArrayList<>(node.report("host-1", 24, 6));
+        later.addAll(node.report("host-2", 14, 6));
+        assertTrue(later.contains("run"), "once it has stopped there, it starts again: " + later);
+    }
+
+    /** Returned machines stay gone, whatever copies of their reports come, also for the owner that did not return them. */
+    @Example
+    void lateCopiesBringNoMachineBack() {
+        node.left();
+        node.steps(20);
+        assertNull(node.report("host-7", 10, 6), "no record and no list shows it, and it has been answered before");
+        assertEquals(List.of(), node.report("host-8", 1, 0), "a new machine is taken on");
+        node.steps(10);
+        List<String> returned = new ArrayList<>();
+        node.cloud = op -> {
+            if (op instanceof CloudOp.Return back) {
+                returned.addAll(back.machines());
+            }
+            return new Command.CloudReply(0, op instanceof CloudOp.Return ? 200 : 0, Map.of());
+        };
+        for (int seq = 2; returned.isEmpty() && seq < 40; seq++) {
+            node.report("host-8", seq, 6);
+            node.steps(15);
+        }
+        assertEquals(List.of("host-8"), returned, "idle for long");
+        node.steps(3);
+        assertNull(node.report("host-8", 1, 0), "a copy of its first report");
+        assertNull(node.report("host-8", 30, 6), "a copy of a later one");
+    }
+
+    /** An idle machine whose return was refused works again; one whose return may yet be carried out does not. */
+    @Example
+    void aMachineWhoseReturnWasRefusedTakesWork() {
+        for (int status : new int[] {503, 0}) {
+            SingleNode owner = new SingleNode();
+            owner.left("host-1");
+            boolean[] asked = {false};
+            owner.cloud = op -> {
+                asked[0] |= op instanceof CloudOp.Return;
+                return new Command.CloudReply(0, status, Map.of("error", "trouble"));
+            };
+            owner.steps(20);
+            int seq = 1;
+            while (!asked[0] && seq < 80) {
+                owner.report("host-1", seq++, 6);
+                owner.steps(15);
+            }
+            assertTrue(asked[0], "idle for long");
+            owner.openJob("wk-1", 1);
+            boolean started = false;
+            for (int i = 0; i < 5; i++) {
+                owner.steps(15);
+                List<String> orders = owner.report("host-1", seq++, 6);
+                started |= orders != null && orders.contains("run");
+            }
+            assertEquals(status == 503, started, "after status " + status);
+        }
+    }
+
+    /** A task of a former session that a late copy shows counts for nothing. */
+    @Example
+    void copiesOfAFormerSessionChangeNothing() {
+        node.openJob("wk-1", 1);
+        node.left("host-1", "host-2");
+        node.steps(20);
+        TaskReport running = new TaskReport("wk-1", 0, 1, TaskState.RUNNING, Cause.NONE);
+        node.report("host-2", 1, 5);
+        node.report("host-2", 2, 6);
+        assertEquals(List.of(), node.report("host-1", 10, 6, running));
+        node.steps(3);
+        List<String> first = node.reportOf("host-1", 2, 11, 6);
+        node.steps(3);
+        List<String> orders = new ArrayList<>(first);
+        orders.addAll(node.report("host-2", 3, 6));
+        assertTrue(orders.contains("run"), "the session has ended and the task with it: " + orders);
+        assertNull(node.report("host-1", 10, 6, running), "a copy of the former session's report");
+        assertNull(node.report("host-1", 12, 6, new TaskReport("wk-1", 0, 1, TaskState.EXITED, Cause.STOPPED)), "and one that was never seen");
+        node.steps(3);
+        List<String> later = node.report("host-2", 4, 6, running("wk-1", first));
+        assertFalse(later.contains("run"), "the task is not started again: " + later);
+    }
+
+    private static TaskReport[] running(String job, List<String> startedElsewhere) {
+        return startedElsewhere.contains("run") ? new TaskReport[0] : new TaskReport[] {new TaskReport(job, 0, (6L << 24) + 1, TaskState.RUNNING, Cause.NONE)};
+    }
+}
--- a/src/test/java/org/shoreusher/model/HeldReportTest.java
+++ b/src/test/java/org/shoreusher/model/SingleNode.java
@@ -1,39 +1,36 @@
 package org.shoreusher.model;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
-import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.util.ArrayList;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
-import net.jqwik.api.Example;
+import java.util.function.Function;
 import org.shoreusher.core.Command;
 import org.shoreusher.core.Effect;
+import org.shoreusher.core.Effect.CloudOp;
 import org.shoreusher.core.Effect.StateOp;
 import org.shoreusher.core.JobSpec;
 import org.shoreusher.core.Node;
 import org.shoreusher.core.Reading;
 import org.shoreusher.core.WorkerReport;
-import org.shoreusher.core.WorkerReport.Cause;
 import org.shoreusher.core.WorkerReport.TaskReport;
-import org.shoreusher.core.WorkerReport.TaskState;
 import org.shoreusher.model.World.Sabotage;
 import org.shoreusher.wire.UserFormat;
 
-/**
- * A report that the network held up since before a takeover does not show what the former owner started after
- * it was made. Taken as fresh, it would let the new owner start a task that is on a machine already.
- */
-class HeldReportTest {
+/** One core with a state service, driven message by message. */
+final class SingleNode {
+    /** What the cloud answers; status 0 by itself. */
+    Function<CloudOp, Command.CloudReply> cloud = op -> new Command.CloudReply(0, 0, null);
     private final World world = new World(0, ClusterModelTest.settings(), 1, Sabotage.NONE);
     private final Node node = new Node(world.settings, "node-0/1", 1);
     private final List<Command> commands = new ArrayList<>();
     private final Map<Long, Effect.Answer> answers = new LinkedHashMap<>();
-    private long now = 1_000_000;
+    long now = 1_000_000;
     private long requests;
 
-    private void steps(int count) {
+    void steps(int count) {
         for (int i = 0; i < count; i++) {
             now += 60;
             List<Command> batch = new ArrayList<>(commands);
@@ -42,7 +39,8 @@
                 if (e instanceof Effect.StateCall c) {
                     world.state.handle("node-0", c.op(), (status, body) -> commands.add(new Command.StateReply(c.call(), status, World.copy(body))));
                 } else if (e instanceof Effect.CloudCall c) {
-                    commands.add(new Command.CloudReply(c.call(), 0, null));
+                    Command.CloudReply reply = cloud.apply(c.op());
+                    commands.add(new Command.CloudReply(c.call(), reply.status(), reply.body()));
                 } else if (e instanceof Effect.Answer a) {
                     answers.put(a.request(), a);
                 }
@@ -50,10 +48,15 @@
         }
     }
 
-    /** Reports, and returns the verbs of the answer's orders; null if it was refused. */
-    private List<String> report(String machine, long seq, long token, TaskReport... tasks) {
+    /** Reports in the first session, and returns the verbs of the answer's orders; null if it was refused. */
+    List<String> report(String machine, long seq, long token, TaskReport... tasks) {
+        return reportOf(machine, 1, seq, token, tasks);
+    }
+
+    /** The same in any session. */
+    List<String> reportOf(String machine, long session, long seq, long token, TaskReport... tasks) {
         long request = ++requests;
-        commands.add(new Command.Report(request, new WorkerReport(machine, "10.0.0.1:9000", CloudModel.TYPE, "a", true, 1, seq, token, Double.NaN, List.of(tasks))));
+        commands.add(new Command.Report(request, new WorkerReport(machine, "10.0.0.1:9000", CloudModel.TYPE, "a", true, session, seq, token, Double.NaN, List.of(tasks))));
         steps(1);
         Effect.Answer answer = answers.get(request);
         if (answer.status() != 200) {
@@ -62,31 +65,25 @@
         return ((List<?>) answer.body().get("orders")).stream().map(o -> (String) ((Map<?, ?>) o).get("verb")).toList();
     }
 
-    private void stored(String key, Map<String, Object> value) {
+    void stored(String key, Map<String, Object> value) {
         world.state.handle("node-9", new StateOp.Multi(Map.of(), Map.of(key, value)), (status, body) -> assertEquals(200, status));
     }
 
-    @Example
-    void aReportFromBeforeTheTakeoverDoesNotCountAsHeard() {
-        JobSpec spec = new JobSpec("wk-1", "class", "team-0", JobSpec.Priority.HIGH, 1, 2, 0, 1, "i", 1, null, null, false, false, true, 5, 0, 0, Double.NaN);
-        stored("job/wk-1", Map.of("part", 0L, "status", "OPEN", "tasks", 1L, "accepted", now, "spec", UserFormat.map(spec)));
-        stored("machine/host-", Map.of("names", List.of(CloudModel.TYPE, "a"), "machines", Map.of("2", List.of(0L, 0L, 1L, 1L, now, 1L), "1", List.of(0L, 0L, 1L, 1L, now, 1L))));
+    /** A part that an owner with term 5 has left, with machines that may have had tasks. */
+    void left(String... machines) {
+        Map<String, Object> lines = new LinkedHashMap<>();
+        for (String machine : machines) {
+            lines.put(machine.substring("host-".length()), List.of(0L, 0L, 1L, 1L, now, 1L));
+        }
+        stored("machine/host-", Map.of("names", List.of(CloudModel.TYPE, "a"), "machines", lines));
         stored("types", Map.of("presses", List.of(Map.of("sku", CloudModel.TYPE, "cpus", 8.0, "mem_gb", 32.0, "yards", List.of("a", "b")))));
         stored("term", Map.of("term", 5L));
         stored("part/0", Map.of("owner", "node-1/x", "expiry", 0L, "term", 5L, "done", Map.of()));
-        steps(20);
-        assertEquals(List.of(), report("host-2", 10, 5), "held since before the takeover: answered, but nothing may start");
-        assertEquals(List.of(), report("host-1", 20, 5));
-        assertEquals(List.of(), report("host-1", 21, 6), "host-2 has not been heard yet");
-        steps(3);
-        assertEquals(List.of(), report("host-1", 22, 6));
-        assertEquals(List.of(), report("host-2", 12, 6, new TaskReport("wk-1", 0, 1, TaskState.RUNNING, Cause.NONE)));
-        steps(3);
-        assertEquals(List.of(), report("host-1", 23, 6), "the task is on host-2");
-        assertEquals(List.of(), report("host-2", 13, 6, new TaskReport("wk-1", 0, 1, TaskState.EXITED, Cause.STOPPED)).stream().filter(v -> v.equals("halt")).toList());
-        steps(3);
-        List<String> later = new ArrayList<>(report("host-1", 24, 6));
-        later.addAll(report("host-2", 14, 6));
-        assertTrue(later.contains("run"), "once it has stopped there, it starts again: " + later);
+    }
+
+    /** An open job of so many tasks in the store. */
+    void openJob(String id, int tasks) {
+        JobSpec spec = new JobSpec(id, "class", "team-0", JobSpec.Priority.HIGH, tasks, 2, 0, 1, "i", 1, null, null, false, false, true, 5, 0, 0, Double.NaN);
+        stored("job/" + id, Map.of("part", 0L, "status", "OPEN", "tasks", (long) tasks, "accepted", now, "spec", UserFormat.map(spec)));
     }
 }
