--- a/src/main/java/org/shoreusher/core/Fleet.java
+++ b/src/main/java/org/shoreusher/core/Fleet.java
@@ -398,7 +398,8 @@
     private void readList(String after, Reading askedAt, List<Listed> soFar) {
         listing = out.cloud(new CloudOp.Listing(after), reply -> {
             listing = false;
-            nextListMs = out.now.steadyMs() + Tuning.LIST_EVERY_MS;
+            // A rebuild waits for machines that are gone, until a list no longer shows them.
+            nextListMs = out.now.steadyMs() + (part.rebuilt() ? Tuning.LIST_EVERY_MS : Tuning.LIST_IN_REBUILD_MS);
             if (reply.status() != 200 || part.lost()) {
                 return;
             }
--- a/src/main/java/org/shoreusher/settings/Tuning.java
+++ b/src/main/java/org/shoreusher/settings/Tuning.java
@@ -170,6 +170,8 @@
     public static final long RENT_EVERY_MS = 1_000;
     /** ms; how often the machine list is read. */
     public static final long LIST_EVERY_MS = 5_000;
+    /** ms; the same while a part is rebuilt. */
+    public static final long LIST_IN_REBUILD_MS = 1_000;
     /** ms; how often prices are read again. */
     public static final long FLAVORS_EVERY_MS = 60_000;
     /** ms; pause after a refused or failed cloud call. */
