A taker waits only for a grace that it has agreed to

An owner now uses its grace only while every other member says, by a hint that is fresh by the sender's time too, that the state service is away for it as well; so a taker that has said no such thing lately knows that there was none.

--- a/src/main/java/org/shoreusher/core/Hint.java
+++ b/src/main/java/org/shoreusher/core/Hint.java
@@ -6,13 +6,14 @@
  * What peers tell each other. No rule rests on a hint: a wrong or old one costs time, never a promise.
  *
  * @param from    the telling node
+ * @param sentWallMs when it was sent, by the sender's time of day
  * @param stateOk whether the state service has answered it lately
  * @param upS     seconds since the telling process started
  * @param parts   the parts it holds
  * @param running running tasks by job, for display
  * @param done    finished tasks by job, for display
  */
-public record Hint(String from, boolean stateOk, double upS, Map<Integer, PartHint> parts, Map<String, Integer> running,
+public record Hint(String from, long sentWallMs, boolean stateOk, double upS, Map<Integer, PartHint> parts, Map<String, Integer> running,
                    Map<String, Integer> done) {
 
     /**
--- a/src/main/java/org/shoreusher/core/Node.java
+++ b/src/main/java/org/shoreusher/core/Node.java
@@ -32,6 +32,8 @@
     private final Object2ObjectOpenHashMap<String, Long> hintedAt = new Object2ObjectOpenHashMap<>();
     private long nextHintMs;
     private long startedMs = -1;
+    /** When this node last told peers that the state service does not answer it. */
+    private long saidStateAwayMs;
     /** CPUs of jobs dealt to each part since the last hints went round. */
     private final double[] dealt;
 
@@ -54,6 +56,8 @@
         out.now = now;
         if (startedMs < 0) {
             startedMs = now.steadyMs();
+            // A former process on this host may have said anything up to its end.
+            saidStateAwayMs = startedMs;
         }
         for (Command command : batch) {
             handle(command);
@@ -102,10 +106,19 @@
         return out.stateSilenceMs() < Tuning.READY_STATE_MS || hints.values().stream().noneMatch(h -> fresh(h) && h.stateOk());
     }
 
+    /**
+     * A hint may have been held up by the network, so it counts by the sender's time as well. Whoever is not heard may
+     * well have the state service.
+     */
+    @Override
+    public boolean stateAwayEverywhere() {
+        return settings.members().stream().map(m -> hints.get(m.host()))
+                .allMatch(h -> h != null && fresh(h) && !h.stateOk() && out.now.wallMs() - h.sentWallMs() < Tuning.HINT_STALE_MS);
+    }
+
     @Override
-    public boolean aloneWithoutState() {
-        List<Hint> heard = hints.values().stream().filter(this::fresh).toList();
-        return !settings.members().isEmpty() && (heard.isEmpty() || heard.stream().anyMatch(Hint::stateOk));
+    public long saidStateAwayUntilMs() {
+        return saidStateAwayMs + Tuning.HINT_STALE_MS + 2 * settings.clockOffMs() + Tuning.LEASE_MARGIN_MS;
     }
 
     private boolean fresh(Hint h) {
@@ -283,6 +296,8 @@
                 }
             }
         }
-        out.add(new Effect.Tell(new Hint(settings.host(), out.stateSilenceMs() < Tuning.READY_STATE_MS, (out.now.steadyMs() - startedMs) / 1000.0, held, running, finished)));
+        boolean stateOk = out.stateSilenceMs() < Tuning.READY_STATE_MS;
+        saidStateAwayMs = stateOk ? saidStateAwayMs : out.now.steadyMs();
+        out.add(new Effect.Tell(new Hint(settings.host(), out.now.wallMs(), stateOk, (out.now.steadyMs() - startedMs) / 1000.0, held, running, finished)));
     }
 }
--- a/src/main/java/org/shoreusher/core/Part.java
+++ b/src/main/java/org/shoreusher/core/Part.java
@@ -32,11 +32,11 @@
         /** A part's fresh hint, or null. */
         PartHint hint(int part);
 
-        /**
-         * Whether this node is most likely the only one that the state service does not answer: a peer says that it
-         * answers there, or no peer is heard at all.
-         */
-        boolean aloneWithoutState();
+        /** Whether every other member has just said that the state service does not answer it either. */
+        boolean stateAwayEverywhere();
+
+        /** steady ms up to which another node may have heard this one say so. */
+        long saidStateAwayUntilMs();
     }
 
     final int n;
@@ -173,9 +173,10 @@
     /**
      * Whether reports may be answered. The grace after a lapse is for an outage that all share. If the state service
      * answers another node, that one takes the part, and every answer given here would only keep the worker from it.
+     * A taker relies on this: it need not wait for a grace that it has not agreed to.
      */
     boolean mayAnswer() {
-        return !lost() && loaded && (holds() || (holding.keepsAlive() && !others.aloneWithoutState()));
+        return !lost() && loaded && (holds() || (holding.keepsAlive() && others.stateAwayEverywhere()));
     }
 
     /**
@@ -357,8 +358,9 @@
         Machine m = new Machine(id, type, record.zone(), record.spot(), record.rentedMs());
         m.used = record.used();
         m.recordedUsed = record.used();
-        // The owner before may have kept the worker's lease alive up to the end of its grace.
-        m.answeredAtMs = holding.takenAtMs() + PartLease.graceMs(settings);
+        // The owner before may have kept the worker's lease alive in its grace, as long as it believed this node to be
+        // without state service as well.
+        m.answeredAtMs = holding.takenAtMs() + Math.max(0, Math.min(PartLease.graceMs(settings), others.saidStateAwayUntilMs() - holding.takenAtMs()));
         machines.put(id, m);
         return m;
     }
--- a/src/main/java/org/shoreusher/peer/HintCodec.java
+++ b/src/main/java/org/shoreusher/peer/HintCodec.java
@@ -41,6 +41,7 @@
         @Override
         public void write(Kryo kryo, Output out, Hint h) {
             out.writeString(h.from());
+            out.writeLong(h.sentWallMs());
             out.writeBoolean(h.stateOk());
             out.writeDouble(h.upS());
             out.writeVarInt(h.parts().size(), true);
@@ -74,13 +75,14 @@
             if (from == null) {
                 throw new KryoException("a hint without sender");
             }
+            long sentWallMs = in.readLong();
             boolean stateOk = in.readBoolean();
             double upS = in.readDouble();
             Map<Integer, PartHint> parts = new HashMap<>();
             for (int i = entries(in); i > 0; i--) {
                 parts.put(in.readVarInt(true), new PartHint(in.readDouble(), in.readVarInt(true), in.readVarInt(true), claims(in)));
             }
-            return new Hint(from, stateOk, upS, parts, counts(in), counts(in));
+            return new Hint(from, sentWallMs, stateOk, upS, parts, counts(in), counts(in));
         }
 
         private static Map<String, Claim> claims(Input in) {
