--- a/src/test/java/org/shoreusher/model/ClusterModelTest.java
+++ b/src/test/java/org/shoreusher/model/ClusterModelTest.java
@@ -14,6 +14,7 @@
 import net.jqwik.api.Property;
 import net.jqwik.api.ShrinkingMode;
 import net.jqwik.api.constraints.LongRange;
+import org.shoreusher.core.JobSpec;
 import org.shoreusher.model.World.Sabotage;
 import org.shoreusher.model.World.Trouble;
 import org.shoreusher.settings.Settings;
@@ -176,6 +177,29 @@
         assertTrue(noticed(Sabotage.LATE_ANSWERS_EXECUTED));
     }
 
+    /**
+     * A job far larger than its team's limit, and of low priority, begins within four minutes although urgent work keeps
+     * coming for several times as much as the limit.
+     */
+    @Example
+    void theLargestJobBeginsAlthoughUrgentWorkKeepsComing() {
+        World w = new World(3, settings(), 1, Sabotage.NONE);
+        w.users.submit(wish("wk-000000", JobSpec.Priority.LOW, 60), 5_000);
+        for (int i = 1; i < 200; i++) {
+            w.users.submit(wish(String.format("wk-%06d", i), JobSpec.Priority.HIGH, 6), 1_000 + i * 1_500L);
+        }
+        w.run(END_MS, List.of());
+        w.rules.end();
+        assertEquals(List.of(), w.rules.violations);
+        long began = w.rules.began.getOrDefault("wk-000000", Long.MAX_VALUE);
+        assertTrue(began < 5_000 + 240_000, () -> "began at " + began);
+    }
+
+    private static UserModel.Wish wish(String id, JobSpec.Priority priority, int tasks) {
+        return new UserModel.Wish(new JobSpec(id, "class", "team-0", priority, tasks, 2, 0, 1, "img-0", 1, null, null, false, false, true, 5, 0, 0, Double.NaN),
+                false, 8_000);
+    }
+
     /** An outage longer than the lease: the owner keeps its workers alive, and its tasks go on. */
     @Example
     void keepsWorkThroughAnOutageLongerThanTheLease() {
@@ -245,6 +269,25 @@
         assertTrue(rebuilt.get(1) < 60_000 + 13_000, () -> "rebuilt at " + rebuilt);
     }
 
+    /** An owner ends; whoever takes its part ends in the middle of it, and is back before anybody else has noticed. */
+    @Example
+    void takersThatEndInTheMiddleOfItDoNoHarm() {
+        for (long seed = 0; seed < 9; seed++) {
+            World w = world(seed, Sabotage.NONE, List.of(new Trouble(60_000, x -> {
+                int[] left = {3};
+                x.onTakeover = p -> {
+                    if (left[0]-- > 0) {
+                        x.in(x.random.nextInt(40), () -> p.kill(30 + x.random.nextInt(300)));
+                    }
+                };
+                owners(x).forEach(p -> p.kill(100));
+            })));
+            assertEquals(List.of(), w.rules.violations);
+            assertEquals(0, w.users.wishes.values().stream().filter(x -> !x.doneTold && !x.cancelTold).count());
+            assertTrue(w.log.stream().filter(l -> l.contains("takeover")).count() > 3);
+        }
+    }
+
     /** A machine that reports but hears nothing is given up and returned; its tasks run elsewhere. */
     @Example
     void aDeafMachineIsReplaced() {
--- a/src/test/java/org/shoreusher/model/ReportsTest.java
+++ b/src/test/java/org/shoreusher/model/ReportsTest.java
@@ -14,6 +14,7 @@
 import org.shoreusher.core.WorkerReport.Cause;
 import org.shoreusher.core.WorkerReport.TaskReport;
 import org.shoreusher.core.WorkerReport.TaskState;
+import org.shoreusher.settings.Tuning;
 
 /** What an owner makes of reports that come late, as copies, or from machines on their way out. */
 class ReportsTest {
@@ -120,6 +121,44 @@
         assertFalse(later.contains("run"), "the task is not started again: " + later);
     }
 
+    /** The largest job of tiny tasks: what a machine is told at once, and so what it can report, stays below 64 KiB. */
+    @Example
+    void ordersAndReportsStayBelowTheirBound() {
+        node.openJob("wk-1", Tuning.MAX_TASKS, 0.001);
+        node.left("host-1");
+        node.steps(20);
+        node.report("host-1", 1, 5);
+        int started = 0;
+        for (int seq = 2; started == 0 && seq < 20; seq++) {
+            node.steps(3);
+            started = node.report("host-1", seq, 6).size();
+        }
+        assertEquals(Tuning.MOST_TASKS_ON_MACHINE, started);
+    }
+
+    /**
+     * A taker waits for a silent machine as long as the owner before may have kept it alive: through the time in which
+     * that one may have heard this node say that the state service is away, here up to its start, and no longer.
+     */
+    @Example
+    void aTakerWaitsForAGraceItMayHaveAgreedTo() {
+        long startedAt = node.now;
+        node.openJob("wk-1", 1);
+        node.left("host-1", "host-2");
+        node.steps(20);
+        assertEquals(List.of(), node.report("host-1", 1, 5));
+        long ranAt = 0;
+        for (int seq = 2; ranAt == 0 && seq < 80; seq++) {
+            node.steps(7);
+            if (node.report("host-1", seq, 6).contains("run")) {
+                ranAt = node.now - startedAt;
+            }
+        }
+        long agreed = Tuning.HINT_STALE_MS + (long) (ClusterModelTest.settings().workerLeaseS() * 1000);
+        assertTrue(ranAt > agreed, "too early: " + ranAt);
+        assertTrue(ranAt < agreed + 2_500, "too late: " + ranAt);
+    }
+
     private static TaskReport[] running(String job, List<String> startedElsewhere) {
         return startedElsewhere.contains("run") ? new TaskReport[0] : new TaskReport[] {new TaskReport(job, 0, (6L << 24) + 1, TaskState.RUNNING, Cause.NONE)};
     }
--- a/src/test/java/org/shoreusher/model/Rules.java
+++ b/src/test/java/org/shoreusher/model/Rules.java
@@ -17,6 +17,8 @@
     private final Map<String, WorkerModel> on = new HashMap<>();
     private final Set<String> completed = new HashSet<>();
     final List<String> violations = new ArrayList<>();
+    /** When the first task of a job was on a machine. */
+    final Map<String, Long> began = new HashMap<>();
     int starts;
 
     Rules(World world) {
@@ -36,6 +38,7 @@
             broken("ran_unknown", task);
             return;
         }
+        began.putIfAbsent(job, world.now);
         WorkerModel other = on.put(task, machine);
         if (other != null) {
             broken("ran_twice", task + " on " + machine.id + " while on " + other.id);
--- a/src/test/java/org/shoreusher/model/SingleNode.java
+++ b/src/test/java/org/shoreusher/model/SingleNode.java
@@ -83,7 +83,11 @@
 
     /** An open job of so many tasks in the store. */
     void openJob(String id, int tasks) {
-        JobSpec spec = new JobSpec(id, "class", "team-0", JobSpec.Priority.HIGH, tasks, 2, 0, 1, "i", 1, null, null, false, false, true, 5, 0, 0, Double.NaN);
+        openJob(id, tasks, 2);
+    }
+
+    void openJob(String id, int tasks, double cpus) {
+        JobSpec spec = new JobSpec(id, "class", "team-0", JobSpec.Priority.HIGH, tasks, cpus, 0, 0, "i", 1, null, null, false, false, true, 5, 0, 0, Double.NaN);
         stored("job/" + id, Map.of("part", 0L, "status", "OPEN", "tasks", (long) tasks, "accepted", now, "spec", UserFormat.map(spec)));
     }
 }
--- a/src/test/java/org/shoreusher/model/UserModel.java
+++ b/src/test/java/org/shoreusher/model/UserModel.java
@@ -50,9 +50,12 @@
         JobSpec spec = new JobSpec(id, "class", "team-" + r.nextInt(2), JobSpec.Priority.values()[r.nextInt(4)], 1 + r.nextInt(12), 1 + r.nextInt(3),
                 0, 1, "img-" + r.nextInt(3), 1, null, r.nextInt(5) == 0 ? "a" : null, oneZone, !oneZone && r.nextInt(4) == 0, r.nextInt(3) > 0,
                 5, 0, 0, Double.NaN);
-        Wish w = new Wish(spec, r.nextInt(5) == 0, 2_000 + r.nextInt(12_000));
+        submit(new Wish(spec, r.nextInt(5) == 0, 2_000 + r.nextInt(12_000)), at);
+    }
+
+    void submit(Wish w, long at) {
         world.at(at, () -> {
-            wishes.put(id, w);
+            wishes.put(w.spec.id(), w);
             trySubmit(w);
         });
     }
