--- a/src/main/java/org/shoreusher/core/Fleet.java
+++ b/src/main/java/org/shoreusher/core/Fleet.java
@@ -18,15 +18,11 @@
 
 /** Rents, returns and keeps track of the machines of one part. */
 final class Fleet {
-    /** A kind of machine as the cloud has or lacks it. */
-    private record Kind(String type, String zone, boolean spot) {
-    }
-
     private final Part part;
     private final Settings settings;
     private final Outbox out;
     private final Types types;
-    private final Object2LongOpenHashMap<Kind> refusedUntil = new Object2LongOpenHashMap<>();
+    private final Rentals rentals;
     /** Machines that lists show and no record does, with the moment they were first seen. */
     private final Object2LongOpenHashMap<String> strays = new Object2LongOpenHashMap<>();
     /** Machines in the newest list. */
@@ -38,10 +34,6 @@
     private int lacks;
     private long nextPlanMs;
     private long nextListMs;
-    private long nextHire = 1;
-    private CloudOp.Rent renting;
-    private boolean rentInFlight;
-    private long rentAgainMs;
     private boolean listing;
     private boolean returning;
     private long nextReturnMs;
@@ -51,13 +43,14 @@
         this.settings = settings;
         this.out = out;
         this.types = types;
+        rentals = new Rentals(part, settings, out, this);
     }
 
     void step() {
         if (!part.holds() || !types.known()) {
             return;
         }
-        rentAgain();
+        rentals.step();
         if (part.rebuilt() && out.now.steadyMs() >= nextPlanMs) {
             nextPlanMs = out.now.steadyMs() + Tuning.RENT_EVERY_MS;
             retire();
@@ -80,6 +73,18 @@
         return gone.contains(id);
     }
 
+    /** The cloud has rented this machine to the part. */
+    void rented(String id, CloudOp.Rent rent, long askedWallMs) {
+        if (!part.lost() && !part.machines().containsKey(id) && !gone.contains(id)) {
+            part.add(id, types.get(rent.type()), rent.zone(), rent.spot(), askedWallMs);
+        }
+    }
+
+    /** Has the next plan made at once, since the last one could not ask for all that it wanted. */
+    void planSoon() {
+        nextPlanMs = out.now.steadyMs();
+    }
+
     boolean isListed(String id) {
         return listed.contains(id);
     }
@@ -87,8 +92,11 @@
     // ---- renting -----------------------------------------------------------------------------
 
     private void plan() {
-        Planner planner = new Planner(slots(), part::cpusRentable, part::gpusLeft);
+        List<Planner.Slot> room = slots();
+        room.addAll(rentals.coming());
+        Planner planner = new Planner(room, part::cpusRentable, part::gpusLeft);
         List<Job> jobs = part.ordered();
+        int most = rentals.room();
         List<Planner.Slot> wanting = new ArrayList<>();
         for (Job job : jobs) {
             MachineType type = cheapest(job.spec);
@@ -96,16 +104,16 @@
                 continue;
             }
             int left = planner.place(job, wantedAtOnce(job));
-            while (left > 0 && wanting.size() < Tuning.RENT_AT_ONCE) {
-                Kind kind = kindFor(job.spec, type, wanting);
+            while (left > 0 && wanting.size() < most) {
+                Rentals.Kind kind = kindFor(job.spec, type, wanting);
                 if (kind == null) {
                     break;
                 }
-                int fits = Math.max(1, new Planner.Slot(type, kind.zone, kind.spot).fits(job.spec));
+                int fits = Math.max(1, new Planner.Slot(type, kind.zone(), kind.spot()).fits(job.spec));
                 // In rounds over the zones, so that none gets all.
-                int count = Math.max(1, Math.min(left / fits / type.zones().size(), Tuning.RENT_AT_ONCE - wanting.size()));
+                int count = Math.max(1, Math.min(left / fits / type.zones().size(), most - wanting.size()));
                 for (int i = 0; i < count; i++) {
-                    Planner.Slot slot = new Planner.Slot(type, kind.zone, kind.spot);
+                    Planner.Slot slot = new Planner.Slot(type, kind.zone(), kind.spot());
                     wanting.add(slot);
                     planner.addRoom(slot);
                 }
@@ -124,20 +132,7 @@
         lacks = lacking(jobs);
         // Idle machines of other parts come by handover, which is quicker and cheaper than renting.
         wanting.subList(Math.max(0, wanting.size() - part.idleElsewhere()), wanting.size()).clear();
-        if (renting == null && !wanting.isEmpty()) {
-            Planner.Slot first = wanting.get(0);
-            int count = 0;
-            for (Planner.Slot s : wanting) {
-                if (s.type == first.type && s.zone.equals(first.zone) && s.spot == first.spot) {
-                    count++;
-                }
-            }
-            // The name contains the term, so no other owner and no restart can use it again.
-            renting = new CloudOp.Rent("part-" + part.n + "-" + part.term() + "-" + nextHire++, first.type.name(), first.zone, first.spot,
-                    Math.min(count, Tuning.RENT_AT_ONCE));
-            rentAgainMs = 0;
-            rentAgain();
-        }
+        rentals.ask(wanting);
     }
 
     /** The room on machines that have come up or will. */
@@ -229,17 +224,18 @@
     }
 
     /** Spot before ordinary, the zone with fewer of the part's machines first; null if all are refused. */
-    private Kind kindFor(JobSpec spec, MachineType type, List<Planner.Slot> wanting) {
-        Kind best = null;
+    private Rentals.Kind kindFor(JobSpec spec, MachineType type, List<Planner.Slot> wanting) {
+        Rentals.Kind best = null;
         double bestRank = Double.MAX_VALUE;
         for (String zone : type.zones()) {
-            long there = part.machines().values().stream().filter(m -> m.zone.equals(zone)).count() + wanting.stream().filter(s -> s.zone.equals(zone)).count();
+            long there = part.machines().values().stream().filter(m -> m.zone.equals(zone)).count() + wanting.stream().filter(s -> s.zone.equals(zone)).count()
+                    + rentals.coming(zone);
             for (boolean spot : new boolean[] {true, false}) {
-                Kind kind = new Kind(type.name(), zone, spot);
+                Rentals.Kind kind = new Rentals.Kind(type.name(), zone, spot);
                 if (!spot && spec.spot() && !worthOrdinary(type)) {
                     continue;
                 }
-                if (spec.allows(type.name(), zone, spot) && refusedUntil.getLong(kind) <= out.now.steadyMs()) {
+                if (spec.allows(type.name(), zone, spot) && !rentals.refused(kind)) {
                     double rank = (spot ? 0 : Tuning.ORDINARY_LAST) + there;
                     if (rank < bestRank) {
                         bestRank = rank;
@@ -256,50 +252,6 @@
         return type.price() <= type.spotPrice() * Tuning.ORDINARY_FACTOR || lacks > part.machines().size() * Tuning.ORDINARY_QUEUE;
     }
 
-    private void rentAgain() {
-        if (renting == null || rentInFlight || out.now.steadyMs() < rentAgainMs) {
-            return;
-        }
-        CloudOp.Rent rent = renting;
-        long askedWall = out.now.wallMs();
-        rentInFlight = out.cloud(rent, reply -> {
-            rentInFlight = false;
-            rented(rent, reply, askedWall);
-        });
-    }
-
-    private void rented(CloudOp.Rent rent, CloudReply reply, long askedWall) {
-        Kind kind = new Kind(rent.type(), rent.zone(), rent.spot());
-        if (reply.status() == 200) {
-            renting = null;
-            nextPlanMs = out.now.steadyMs();
-            try {
-                List<String> names = CloudFormat.rented(new Tree(reply.body()));
-                out.log("rented: " + names.size() + " of " + rent.count() + " " + rent.type() + " in " + rent.zone() + (rent.spot() ? ", spot" : ", ordinary")
-                        + " for part " + part.n);
-                if (names.size() < rent.count()) {
-                    refusedUntil.put(kind, out.now.steadyMs() + Tuning.NO_CAPACITY_MS);
-                }
-                for (String id : names) {
-                    if (!part.lost() && !part.machines().containsKey(id) && !gone.contains(id)) {
-                        part.add(id, types.get(rent.type()), rent.zone(), rent.spot(), askedWall);
-                    }
-                }
-            } catch (Tree.Missing e) {
-                out.log("cloud: rental not understood: " + e.getMessage());
-            }
-        } else if (reply.status() == 503 && reply.body() != null && "no capacity".equals(reply.body().get("error"))) {
-            renting = null;
-            refusedUntil.put(kind, out.now.steadyMs() + Tuning.NO_CAPACITY_MS);
-        } else if (reply.status() == 400) {
-            renting = null;
-            out.log("cloud: refused the rental of " + rent.type() + " in " + rent.zone() + " as malformed");
-        } else {
-            // Without an answer it may have been carried out: only the same name is safe to repeat.
-            rentAgainMs = out.now.steadyMs() + Tuning.CLOUD_RETRY_MS;
-        }
-    }
-
     // ---- returning ---------------------------------------------------------------------------
 
     /** Marks machines that must not get more work: faulty, noticed, deaf, dead in their boot. */
