Tasks never started begin during a rebuild; silent machines charged with no more than limits leave

Now each job's record says from which number on no task was ever started, written before the first start below it; what silent machines may hold of a team is bounded by its limit less what was found on the others; renting goes on during the rebuild.

--- a/src/main/java/org/shoreusher/core/Fleet.java
+++ b/src/main/java/org/shoreusher/core/Fleet.java
@@ -51,11 +51,15 @@
             return;
         }
         rentals.step();
-        if (part.rebuilt() && out.now.steadyMs() >= nextPlanMs) {
+        if (out.now.steadyMs() >= nextPlanMs) {
             nextPlanMs = out.now.steadyMs() + Tuning.RENT_EVERY_MS;
-            retire();
+            if (part.rebuilt()) {
+                retire();
+            }
             plan();
-            handOver();
+            if (part.rebuilt()) {
+                handOver();
+            }
         }
         giveBack();
         list();
@@ -122,7 +126,9 @@
         }
         Set<Machine> needed = new HashSet<>();
         planner.placed().forEach(p -> needed.add(p.slot().machine));
-        returnIdle(needed);
+        if (part.rebuilt()) {
+            returnIdle(needed);
+        }
         spare.clear();
         for (Machine m : part.machines().values()) {
             if (part.available(m) && m.tasks.isEmpty() && !needed.contains(m)) {
@@ -139,7 +145,8 @@
     private List<Planner.Slot> slots() {
         List<Planner.Slot> slots = new ArrayList<>();
         for (Machine m : part.machines().values()) {
-            if (part.available(m) || m.state == Machine.State.BOOTING) {
+            // During a rebuild a machine that may hold tasks has no room until it is heard.
+            if (part.available(m) || (m.state == Machine.State.BOOTING && (part.rebuilt() || !m.used))) {
                 slots.add(new Planner.Slot(m));
             }
         }
--- a/src/main/java/org/shoreusher/core/Job.java
+++ b/src/main/java/org/shoreusher/core/Job.java
@@ -21,6 +21,8 @@
     /** Which record of finished tasks this job is in. */
     int chunk = -1;
     int waitingCount;
+    /** Only tasks below this number may be started: the store says so, hence a taker knows that no other ever was. */
+    int startBelow;
     /** Final in the store, or taken away: nothing of it may start. */
     boolean closed;
     boolean finishing;
@@ -49,6 +51,28 @@
         return startedCount > 0 || !live.isEmpty() || !done.isEmpty();
     }
 
+    /** Lets every task from a number on wait that is not finished. */
+    void waitFrom(int index) {
+        for (int i = done.nextClearBit(index); i < spec.tasks(); i = done.nextClearBit(i + 1)) {
+            if (live.get(i) == null) {
+                setWaiting(i, true);
+            }
+        }
+    }
+
+    /** Up to which number tasks must be startable so that the next so many of those waiting are; 0 if none waits. */
+    int belowFor(int count) {
+        int index = -1;
+        for (int i = 0; i < count; i++) {
+            int next = waiting.nextSetBit(index + 1);
+            if (next < 0) {
+                break;
+            }
+            index = next;
+        }
+        return index + 1;
+    }
+
     void observe(double seconds) {
         observedCount++;
         observedSumS += seconds;
--- a/src/main/java/org/shoreusher/core/Keys.java
+++ b/src/main/java/org/shoreusher/core/Keys.java
@@ -82,24 +82,32 @@
     /**
      * A job's record. A done job's description is dropped; a cancelled one's is kept, because its
      * tasks use their team's limit until they are hunted down, also under the next owner.
+     *
+     * @param begun tasks from this number on have never been started by any owner; see {@link StartMarks}
      */
-    record JobRecord(int part, JobStatus status, int tasks, long acceptedMs, Map<String, Object> spec) {
+    record JobRecord(int part, JobStatus status, int tasks, long acceptedMs, int begun, Map<String, Object> spec) {
         static JobRecord read(Map<String, Object> value) {
             try {
                 Tree t = new Tree(value);
-                return new JobRecord((int) t.whole("part"), JobStatus.valueOf(t.text("status")), (int) t.whole("tasks"),
-                        t.whole("accepted"), t.has("spec") ? t.map("spec").asMap() : null);
+                int tasks = (int) t.whole("tasks");
+                // A record from before there were marks: any of its tasks may have been started.
+                int begun = t.has("begun") ? (int) t.whole("begun") : tasks;
+                return new JobRecord((int) t.whole("part"), JobStatus.valueOf(t.text("status")), tasks, t.whole("accepted"), begun, t.has("spec") ? t.map("spec").asMap() : null);
             } catch (Tree.Missing e) {
                 throw new IllegalStateException("a job record of this service can't be read: " + e.getMessage());
             }
         }
 
         static JobRecord open(int part, JobSpec spec, long acceptedMs) {
-            return new JobRecord(part, JobStatus.OPEN, spec.tasks(), acceptedMs, UserFormat.map(spec));
+            return new JobRecord(part, JobStatus.OPEN, spec.tasks(), acceptedMs, 0, UserFormat.map(spec));
         }
 
         JobRecord ended(JobStatus status) {
-            return new JobRecord(part, status, tasks, acceptedMs, status == JobStatus.DONE ? null : spec);
+            return new JobRecord(part, status, tasks, acceptedMs, begun, status == JobStatus.DONE ? null : spec);
+        }
+
+        JobRecord begun(int below) {
+            return new JobRecord(part, status, tasks, acceptedMs, below, spec);
         }
 
         JobSpec description() {
@@ -116,6 +124,7 @@
             m.put("status", status.name());
             m.put("tasks", (long) tasks);
             m.put("accepted", acceptedMs);
+            m.put("begun", (long) begun);
             if (spec != null) {
                 m.put("spec", spec);
             }
--- a/src/main/java/org/shoreusher/core/Part.java
+++ b/src/main/java/org/shoreusher/core/Part.java
@@ -55,6 +55,7 @@
     private final TaskBook book = new TaskBook();
     private final MachineIndex index;
     private final MachineRecords records;
+    private final StartMarks marks;
     private final Reports reports;
     /** Jobs whose last task has finished and whose final state is not yet written. */
     private final List<Job> complete = new ArrayList<>();
@@ -81,7 +82,8 @@
         this.records = new MachineRecords(n, settings, out, mirror, index, holding, machines);
         this.urgency = new Urgency(settings, estimates);
         this.fleet = new Fleet(this, settings, out, types);
-        this.reports = new Reports(this, settings, out, mirror, index, types, book);
+        this.marks = new StartMarks(settings, out, mirror, holding);
+        this.reports = new Reports(this, settings, out, mirror, index, types, book, marks);
     }
 
     // ---- views for others --------------------------------------------------------------------
@@ -144,11 +146,23 @@
     }
 
     double cpusLeft(String team) {
-        return quota.startCpus(team) - book.cpus(team) - unknownCpus;
+        return quota.startCpus(team) - book.cpus(team) - unknownCpus(team);
     }
 
     double gpusLeft(String team) {
-        return quota.gpus(team) - book.gpus(team) - unknownGpus;
+        Settings.Team t = settings.teams().get(team);
+        double most = t == null ? 0 : t.gpusMax() - book.foundGpus(team);
+        return quota.gpus(team) - book.gpus(team) - Math.min(unknownGpus, Math.max(0, most));
+    }
+
+    /**
+     * CPUs of a team that machines not yet heard may hold. The owner before kept the team to its limit, so what was found
+     * on machines that have been heard and what is on the others is no more than that together.
+     */
+    private double unknownCpus(String team) {
+        Settings.Team t = settings.teams().get(team);
+        double most = t == null ? 0 : t.cpusMax() - book.foundCpus(team);
+        return Math.min(unknownCpus, Math.max(0, most));
     }
 
     /** CPUs left if the whole limit of the team could be had: what renting goes by. */
@@ -160,7 +174,7 @@
             Claim claim = hint == null ? null : hint.claims().get(team);
             others -= claim == null ? 0 : claim.urgent() + claim.other();
         }
-        return Math.max(others, quota.cpus(team)) - book.cpus(team) - unknownCpus;
+        return Math.max(others, quota.cpus(team)) - book.cpus(team) - unknownCpus(team);
     }
 
     /** Whether a machine reports and may be given work. */
@@ -179,8 +193,8 @@
     }
 
     /**
-     * Whether commands that start something may be given now. During the rebuild only jobs accepted under
-     * this owner have waiting tasks, and every team is charged with all that silent machines may hold.
+     * Whether commands that start something may be given now. During the rebuild only tasks wait that surely are on no
+     * machine, and every team is charged with all that silent machines may hold.
      */
     boolean mayStart() {
         return loaded && holds() && mirror.ageMs() < Tuning.VIEW_STALE_MS;
@@ -200,6 +214,7 @@
             }
             load();
         }
+        marks.write();
         records.write();
         finishJobs();
         if (out.now.steadyMs() < nextWalkMs) {
@@ -210,7 +225,7 @@
         if (!rebuilt) {
             rebuild();
         }
-        quota.step(team -> book.cpus(team) + unknownCpus, this::claims, this::quantum);
+        quota.step(team -> book.cpus(team) + unknownCpus(team), this::claims, this::quantum);
         fleet.step();
         preempt();
         if (out.now.steadyMs() >= nextStatusMs) {
@@ -253,6 +268,15 @@
         return most;
     }
 
+    /** CPUs of all machines that report. */
+    double cpus() {
+        double all = 0;
+        for (Machine m : machines.values()) {
+            all += m.state == Machine.State.UP ? m.type.cpus() : 0;
+        }
+        return all;
+    }
+
     /** What the other parts are told of this one. */
     PartHint hint() {
         double room = 0;
@@ -297,16 +321,14 @@
     private String status() {
         int[] states = new int[Machine.State.values().length];
         double used = 0;
-        double all = 0;
         for (Machine m : machines.values()) {
             states[m.state.ordinal()]++;
             used += m.cpusUsed;
-            all += m.state == Machine.State.UP ? m.type.cpus() : 0;
         }
         Object2IntOpenHashMap<String> waiting = new Object2IntOpenHashMap<>();
         jobs.values().forEach(j -> waiting.addTo(j.spec.jobClass(), j.waitingCount));
         return "status: part " + n + " term " + term() + ", machines " + states[0] + " booting " + states[1] + " up " + (states[2] + states[3] + states[4]) + " leaving, CPUs "
-                + used + " of " + all + ", " + jobs.size() + " jobs, waiting " + waiting;
+                + used + " of " + cpus() + ", " + jobs.size() + " jobs, waiting " + waiting;
     }
 
     // ---- takeover ----------------------------------------------------------------------------
@@ -333,7 +355,10 @@
                 }
             }
         });
-        jobs.values().forEach(this::finished);
+        for (Job job : jobs.values()) {
+            job.waitFrom(job.startBelow);
+            finished(job);
+        }
     }
 
     private void readDone(Map<String, Object> done, int chunk) {
@@ -392,16 +417,10 @@
             return;
         }
         rebuilt = true;
-        book.complete();
         int live = 0;
         for (Job job : jobs.values()) {
-            for (int i = job.done.nextClearBit(0); i < job.spec.tasks(); i = job.done.nextClearBit(i + 1)) {
-                if (job.live.get(i) == null) {
-                    job.setWaiting(i, true);
-                } else {
-                    live++;
-                }
-            }
+            job.waitFrom(0);
+            live += job.live.size();
         }
         out.log("rebuilt: part " + n + " term " + term() + ", " + jobs.size() + " jobs, " + machines.size() + " machines, " + live + " tasks on them, after "
                 + (out.now.steadyMs() - holding.takenAtMs()) + " ms");
@@ -421,17 +440,17 @@
         if (record.status() != JobStatus.OPEN) {
             close(id);
         } else if (!jobs.containsKey(id)) {
-            Job job = addJob(id, record);
             // Accepted under this owner's lease, so no machine can have any of it.
-            for (int i = 0; i < job.spec.tasks(); i++) {
-                job.setWaiting(i, true);
-            }
+            addJob(id, record).waitFrom(0);
+        } else {
+            jobs.get(id).startBelow = record.begun();
         }
     }
 
     private Job addJob(String id, JobRecord record) {
         Job job = new Job(id, record.description(), record.acceptedMs());
         job.closed = record.status() != JobStatus.OPEN;
+        job.startBelow = record.begun();
         if (!job.closed) {
             jobs.put(id, job);
         }
@@ -499,7 +518,8 @@
     }
 
     private void preempt() {
-        if (out.now.steadyMs() < nextPreemptMs || !mayStart()) {
+        // Until all machines are heard it is what they may hold that binds, and no task that is stopped makes room for that.
+        if (out.now.steadyMs() < nextPreemptMs || !rebuilt || !mayStart()) {
             return;
         }
         nextPreemptMs = out.now.steadyMs() + Tuning.PREEMPT_EVERY_MS;
--- a/src/main/java/org/shoreusher/core/Placement.java
+++ b/src/main/java/org/shoreusher/core/Placement.java
@@ -16,12 +16,14 @@
 final class Placement {
     private final Part part;
     private final Outbox out;
+    private final StartMarks marks;
     private final Object2ObjectOpenHashMap<Machine, List<Planner.Placed>> shares = new Object2ObjectOpenHashMap<>();
     /** Tasks that no machine had room for, by job, most pressing first. */
     private final Object2IntLinkedOpenHashMap<Job> rest = new Object2IntLinkedOpenHashMap<>();
     private long nextMs = Long.MIN_VALUE;
 
-    Placement(Part part, Outbox out) {
+    Placement(Part part, Outbox out, StartMarks marks) {
+        this.marks = marks;
         this.part = part;
         this.out = out;
     }
@@ -77,11 +79,19 @@
             return;
         }
         Planner planner = part.planner();
+        double ahead = part.cpus() * Tuning.MARKED_AHEAD;
         for (Job job : jobs) {
+            int allowed = Math.min(job.waitingCount, planner.allowedByTeam(job.spec));
             int left = planner.place(job, job.waitingCount);
             if (left > 0) {
                 rest.put(job, left);
             }
+            // What is about to be started, and what comes next when a machine has room again.
+            int next = (int) Math.min(left, Math.ceil(ahead / Math.max(Tuning.EPSILON, job.spec.cpus())));
+            ahead -= next * job.spec.cpus();
+            if (allowed - left + next > 0) {
+                marks.want(job, job.belowFor(allowed - left + next));
+            }
         }
         for (Planner.Placed p : planner.placed()) {
             shares.computeIfAbsent(p.slot().machine, m -> new ArrayList<>()).add(p);
--- a/src/main/java/org/shoreusher/core/Reports.java
+++ b/src/main/java/org/shoreusher/core/Reports.java
@@ -30,7 +30,7 @@
     private final Placement placement;
     private long nextAttempt = 1;
 
-    Reports(Part part, Settings settings, Outbox out, Mirror mirror, MachineIndex index, Types types, TaskBook book) {
+    Reports(Part part, Settings settings, Outbox out, Mirror mirror, MachineIndex index, Types types, TaskBook book, StartMarks marks) {
         this.part = part;
         this.settings = settings;
         this.out = out;
@@ -38,7 +38,7 @@
         this.index = index;
         this.types = types;
         this.book = book;
-        placement = new Placement(part, out);
+        placement = new Placement(part, out, marks);
     }
 
     /** Answers a report of a machine that belongs to this part, or to none yet. */
@@ -106,6 +106,7 @@
         m.address = r.address();
         m.noticeS = r.noticeS();
         m.reportedAtMs = out.now.steadyMs();
+        boolean found = m.inherited && !m.heard;
         m.heard = true;
         if (m.state == Machine.State.BOOTING) {
             m.state = Machine.State.UP;
@@ -125,6 +126,9 @@
                 present(m, key, t);
             }
         }
+        if (found) {
+            m.tasks.values().forEach(book::found);
+        }
         if (m.tasks.size() > shown.size()) {
             for (Live live : m.tasksNow()) {
                 // A start answered to an older report is in this one, or was dropped and never happens.
@@ -256,6 +260,10 @@
             int index = -1;
             for (int i = 0; i < p.count() && room > 0; i++, room--) {
                 index = p.job().waiting.nextSetBit(index + 1);
+                if (index < 0 || index >= p.job().startBelow) {
+                    // Its mark is on its way to the store; the next plan has the task again.
+                    break;
+                }
                 Live live = new Live(p.job(), index, part.term() << Tuning.ATTEMPT_BITS | nextAttempt++, m, Live.State.ASKED, out.now.steadyMs());
                 book.add(live, true);
                 p.job().startedCount++;
--- a/src/main/java/org/shoreusher/core/TaskBook.java
+++ b/src/main/java/org/shoreusher/core/TaskBook.java
@@ -9,11 +9,22 @@
 final class TaskBook {
     private final Object2DoubleOpenHashMap<String> teamCpus = new Object2DoubleOpenHashMap<>();
     private final Object2DoubleOpenHashMap<String> teamGpus = new Object2DoubleOpenHashMap<>();
-    /** Whether all machines have been heard, so that a task that is on none may wait. */
-    private boolean complete;
+    /** What was found on machines of an owner before, when each was first heard. */
+    private final Object2DoubleOpenHashMap<String> foundCpus = new Object2DoubleOpenHashMap<>();
+    private final Object2DoubleOpenHashMap<String> foundGpus = new Object2DoubleOpenHashMap<>();
 
-    void complete() {
-        complete = true;
+    /** An owner before has started this task, and a report made since the takeover shows it. */
+    void found(Live live) {
+        foundCpus.addTo(live.job.spec.team(), live.job.spec.cpus());
+        foundGpus.addTo(live.job.spec.team(), live.job.spec.gpus());
+    }
+
+    double foundCpus(String team) {
+        return foundCpus.getDouble(team);
+    }
+
+    double foundGpus(String team) {
+        return foundGpus.getDouble(team);
     }
 
     double cpus(String team) {
@@ -41,7 +52,10 @@
         }
     }
 
-    /** The task is surely not on its machine any more; it waits again unless it is finished. */
+    /**
+     * The task is surely not on its machine any more; it waits again unless it is finished. That holds during a rebuild as
+     * well: a task is or may be on one machine at most, so one that has been seen on this one is on none that is yet silent.
+     */
     void remove(Live live) {
         Machine m = live.machine;
         JobSpec spec = live.job.spec;
@@ -56,7 +70,7 @@
         Job job = live.job;
         if (job.live.get(live.index) == live) {
             job.live.remove(live.index);
-            if (!job.closed && !job.done.get(live.index) && complete) {
+            if (!job.closed && !job.done.get(live.index)) {
                 job.setWaiting(live.index, true);
             }
         }
--- a/src/main/java/org/shoreusher/settings/Tuning.java
+++ b/src/main/java/org/shoreusher/settings/Tuning.java
@@ -129,6 +129,13 @@
     /** ms; longest such pause. */
     public static final long FAIL_PAUSE_MAX_MS = 30_000;
 
+    /** share of a part's CPUs for which tasks are marked as startable beyond those that a plan has room for: what ends between two plans. */
+    public static final double MARKED_AHEAD = 0.05;
+    /** jobs whose marks go into one write; a record with its description is below 1 KiB. */
+    public static final int MARKS_AT_ONCE = 40;
+    /** times the last mark of a job that the next one is at least, so that a large job's tasks cost a handful of writes. */
+    public static final int MARK_GROWTH = 2;
+
     // ---- policy ------------------------------------------------------------------------------
     /** weight of one finished task in the correction of its class's estimates. */
     public static final double ESTIMATE_WEIGHT = 0.05;
--- a/src/test/java/org/shoreusher/model/ReportsTest.java
+++ b/src/test/java/org/shoreusher/model/ReportsTest.java
@@ -8,6 +8,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import net.jqwik.api.Example;
 import org.shoreusher.core.Command;
 import org.shoreusher.core.Effect.CloudOp;
@@ -101,6 +102,51 @@
         }
     }
 
+    /**
+     * While a machine is silent, tasks that no owner has ever started begin all the same, in what the team's limit surely
+     * leaves: 24 CPUs less 8 that the silent machine may hold. A task that may be on the silent machine waits.
+     */
+    @Example
+    void whatWasNeverStartedNeedNotWaitForSilentMachines() {
+        node.begunJob("wk-1");
+        node.left("host-1", "host-2");
+        node.steps(20);
+        assertEquals(List.of(), node.startsOf("host-1", 1, 5), "made before it saw the new term");
+        List<String> started = new ArrayList<>();
+        for (int seq = 2; seq < 8; seq++) {
+            node.steps(3);
+            started.addAll(node.startsOf("host-1", seq, 6));
+        }
+        assertEquals(Set.of("wk-1/1"), Set.copyOf(started));
+    }
+
+    /**
+     * The owner before kept a team to its limit, so what a silent machine may hold is no more than the limit leaves beside
+     * what was found: 24 CPUs with 16 found on machines that were heard leave 8 for three silent ones, not 24. When one of the
+     * found tasks has ended, another may begin.
+     */
+    @Example
+    void silentMachinesHoldNoMoreThanTheLimitLeaves() {
+        node.begunJob("wk-1");
+        node.openJob("wk-2", 2, 8);
+        node.left("host-1", "host-2", "host-3", "host-4", "host-5");
+        node.steps(20);
+        TaskReport first = new TaskReport("wk-2", 0, 1, TaskState.RUNNING, Cause.NONE);
+        TaskReport second = new TaskReport("wk-2", 1, 2, TaskState.RUNNING, Cause.NONE);
+        node.report("host-1", 1, 5);
+        node.report("host-2", 1, 5);
+        assertEquals(List.of(), node.startsOf("host-1", 2, 6, first));
+        assertEquals(List.of(), node.startsOf("host-2", 2, 6, second));
+        node.steps(3);
+        assertEquals(List.of(), node.startsOf("host-2", 3, 6, second), "the limit may be used up");
+        List<String> started = new ArrayList<>();
+        for (int seq = 3; seq < 8; seq++) {
+            node.steps(3);
+            started.addAll(node.startsOf("host-1", seq, 6, new TaskReport("wk-2", 0, 1, TaskState.EXITED, Cause.DONE)));
+        }
+        assertEquals(Set.of("wk-1/1"), Set.copyOf(started));
+    }
+
     /** A task of a former session that a late copy shows counts for nothing. */
     @Example
     void copiesOfAFormerSessionChangeNothing() {
--- a/src/test/java/org/shoreusher/model/SingleNode.java
+++ b/src/test/java/org/shoreusher/model/SingleNode.java
@@ -48,6 +48,13 @@
         }
     }
 
+    /** Reports in the first session, and returns the tasks that the answer starts. */
+    List<String> startsOf(String machine, long seq, long token, TaskReport... tasks) {
+        report(machine, seq, token, tasks);
+        return ((List<?>) answers.get(requests).body().get("orders")).stream().map(o -> (Map<?, ?>) o).filter(o -> o.get("verb").equals("run"))
+                .map(o -> (String) o.get("sheet")).toList();
+    }
+
     /** Reports in the first session, and returns the verbs of the answer's orders; null if it was refused. */
     List<String> report(String machine, long seq, long token, TaskReport... tasks) {
         return reportOf(machine, 1, seq, token, tasks);
@@ -81,13 +88,21 @@
         stored("part/0", Map.of("owner", "node-1/x", "expiry", 0L, "term", 5L, "done", Map.of()));
     }
 
-    /** An open job of so many tasks in the store. */
+    /** An open job of two tasks in the store, the first of which may have been started. */
+    void begunJob(String id) {
+        stored("job/" + id, Map.of("part", 0L, "status", "OPEN", "tasks", 2L, "accepted", now, "begun", 1L, "spec", UserFormat.map(spec(id, 2, 2))));
+    }
+
+    /** An open job of so many tasks in the store, any of which may have been started. */
     void openJob(String id, int tasks) {
         openJob(id, tasks, 2);
     }
 
     void openJob(String id, int tasks, double cpus) {
-        JobSpec spec = new JobSpec(id, "class", "team-0", JobSpec.Priority.HIGH, tasks, cpus, 0, 0, "i", 1, null, null, false, false, true, 5, 0, 0, Double.NaN);
-        stored("job/" + id, Map.of("part", 0L, "status", "OPEN", "tasks", (long) tasks, "accepted", now, "spec", UserFormat.map(spec)));
+        stored("job/" + id, Map.of("part", 0L, "status", "OPEN", "tasks", (long) tasks, "accepted", now, "spec", UserFormat.map(spec(id, tasks, cpus))));
+    }
+
+    private static JobSpec spec(String id, int tasks, double cpus) {
+        return new JobSpec(id, "class", "team-0", JobSpec.Priority.HIGH, tasks, cpus, 0, 0, "i", 1, null, null, false, false, true, 5, 0, 0, Double.NaN);
     }
 }
