Quiet connections of workers close soon and make room; views too old are read in pages; silent machines get no halts

Now a worker's connection closes after four report times, and with all sockets taken the one longest quiet makes room. The backlog is sized by the sockets, not 256. Also closed: a watch answer beyond 8 MB failed for ever; a view older than 20 s whose watch fails is read in pages.

--- a/src/main/java/org/shoreusher/core/Mirror.java
+++ b/src/main/java/org/shoreusher/core/Mirror.java
@@ -138,12 +138,14 @@
 
     private void replied(StateReply reply, long sentAt) throws Tree.Missing {
         if (reply.status() == 410) {
-            loading = true;
-            page = null;
-            incoming = new TreeMap<>();
+            reload();
             return;
         }
         if (reply.status() != 200) {
+            // An answer that is too long fails like one that is lost, and would fail for ever.
+            if (loaded && !loading && ageMs() > Tuning.RELOAD_AFTER_MS) {
+                reload();
+            }
             retry();
             return;
         }
@@ -192,6 +194,12 @@
         all.forEach((key, e) -> apply(key, e.value(), e.version()));
     }
 
+    private void reload() {
+        loading = true;
+        page = null;
+        incoming = new TreeMap<>();
+    }
+
     private void retry() {
         nextAt = out.now.steadyMs() + Tuning.STATE_RETRY_MS;
     }
--- a/src/main/java/org/shoreusher/core/Part.java
+++ b/src/main/java/org/shoreusher/core/Part.java
@@ -180,7 +180,11 @@
     /** Whether a machine reports and may be given work. */
     boolean available(Machine m) {
         return m.state == Machine.State.UP && m.heard && !m.yielding && !m.deaf() && Double.isNaN(m.noticeS)
-                && out.now.steadyMs() - m.reportedAtMs < settings.reportS() * 1000 * Tuning.QUIET_REPORTS;
+                && out.now.steadyMs() - m.reportedAtMs < quietMs();
+    }
+
+    private double quietMs() {
+        return settings.reportS() * 1000 * Tuning.QUIET_REPORTS;
     }
 
     /**
@@ -559,7 +563,8 @@
     /** Stops a task by a direct command; reports repeat it until it is gone. */
     void halt(Live live, double graceS) {
         Machine m = live.machine;
-        if (holds() && m.address != null && m.heard && out.now.steadyMs() - live.haltedAtMs > Tuning.HALT_AGAIN_MS) {
+        // A machine that is silent most likely can't be reached: its lease ends, or it is told when it reports again.
+        if (holds() && m.address != null && m.heard && out.now.steadyMs() - m.reportedAtMs < quietMs() && out.now.steadyMs() - live.haltedAtMs > Tuning.HALT_AGAIN_MS) {
             live.haltedAtMs = out.now.steadyMs();
             out.add(new Effect.Orders(m.address, term(), m.session, List.of(stop(live, graceS))));
         }
--- a/src/main/java/org/shoreusher/settings/Tuning.java
+++ b/src/main/java/org/shoreusher/settings/Tuning.java
@@ -58,6 +58,8 @@
     public static final long WATCH_BLOCK_MS = 2_000;
     /** ms; pause between watches, so that a burst of changes costs one request. */
     public static final long WATCH_GAP_MS = 40;
+    /** ms; a view that is older when its watch fails is read anew in pages: what a watch would bring has no bound on its size. */
+    public static final long RELOAD_AFTER_MS = 20_000;
     /** ms; pause after a failed state call of the mirror. */
     public static final long STATE_RETRY_MS = 300;
     /** ms; a state call is given up after this; answers take 10 ms, now and then some hundred. */
@@ -219,12 +221,14 @@
     public static final int MAX_STATE_BODY = 8 * 1024 * 1024;
     /** s; a connection that sends nothing for so long is closed. */
     public static final int IDLE_CONNECTION_S = 120;
+    /** times report_s after which a worker's connection without a report is closed; they come after 1.25 at most. */
+    public static final double IDLE_WORKER_REPORTS = 4;
+    /** s; the same at the least, above the worker's patience and its pause. */
+    public static final double IDLE_WORKER_S = 10;
     /** s; a request that is begun must be complete within this. */
     public static final int REQUEST_READ_S = 10;
     /** levels; deeper messages are refused, and none of the protocol's goes beyond 5. */
     public static final int MAX_DEPTH = 32;
-    /** connections that may wait to be accepted; a storm of reconnects comes within a second. */
-    public static final int BACKLOG = 256;
     /** direct commands to workers in flight at once, each on a connection of its own; within OWN_SOCKETS. */
     public static final int ORDERS_AT_ONCE = 50;
     /** bytes; a longer hint of a peer is refused. */
@@ -233,8 +237,8 @@
     public static final int HINT_BUFFER = 512;
     /** entries; a map in a hint said to be longer is refused before it is built. */
     public static final int MOST_HINT_ENTRIES = 10_000;
-    /** sockets kept back from the front for the node's own calls. */
-    public static final int OWN_SOCKETS = 100;
+    /** sockets kept back from the front: 64 calls of the state service and 6 of heartbeats, 30 of the cloud, 50 direct commands, 8 of peers, and the listeners. */
+    public static final int OWN_SOCKETS = 160;
     /** ms; a connection attempt is given up after this. */
     public static final int CONNECT_MS = 1_000;
     /** idle connections kept per target. */
--- a/src/main/java/org/shoreusher/user/FrontServer.java
+++ b/src/main/java/org/shoreusher/user/FrontServer.java
@@ -4,6 +4,7 @@
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.ByteBufUtil;
 import io.netty.buffer.Unpooled;
+import io.netty.channel.Channel;
 import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
@@ -26,6 +27,7 @@
 import io.netty.handler.codec.http.HttpVersion;
 import io.netty.util.concurrent.ScheduledFuture;
 import it.unimi.dsi.fastutil.longs.Long2ObjectOpenHashMap;
+import it.unimi.dsi.fastutil.objects.ObjectLinkedOpenHashSet;
 import java.io.IOException;
 import java.util.Map;
 import java.util.concurrent.TimeUnit;
@@ -45,6 +47,7 @@
 /** The node's front: users, workers and health checks. Bodies are read here; the core decides. */
 public final class FrontServer {
     private static final String JOBS = "/v2/runs";
+    private static final String HELLO = "/hello";
     private static final String CANCEL = "/cancel";
 
     private record Waiting(ChannelHandlerContext channel, boolean keepAlive, long sinceNs, boolean user) {
@@ -57,7 +60,10 @@
     private final Long2ObjectOpenHashMap<Waiting> waiting = new Long2ObjectOpenHashMap<>();
     private final Histogram userLatency = new Histogram(TimeUnit.SECONDS.toMicros(Tuning.LATENCY_LINE_S), 2);
     private long nextRequest = 1;
-    private int connections;
+    /** Open connections, the one that has been quiet for longest first. */
+    private final ObjectLinkedOpenHashSet<Channel> connections = new ObjectLinkedOpenHashSet<>();
+    /** s; a worker that has said nothing for so long reports on another connection by now, or is gone. */
+    private final int workerIdleS;
 
     /**
      * @param core takes a command, or refuses it when too many wait
@@ -68,12 +74,13 @@
         this.loop = loop;
         this.settings = settings;
         this.core = core;
+        workerIdleS = (int) Math.ceil(Math.max(Tuning.IDLE_WORKER_S, Tuning.IDLE_WORKER_REPORTS * settings.reportS()));
     }
 
     /** Begins to listen. */
     public void listen() throws InterruptedException {
         new ServerBootstrap().group(loop).channel(NioServerSocketChannel.class).option(ChannelOption.SO_REUSEADDR, true)
-                .option(ChannelOption.SO_BACKLOG, Tuning.BACKLOG).childOption(ChannelOption.TCP_NODELAY, true)
+                .option(ChannelOption.SO_BACKLOG, settings.sockets()).childOption(ChannelOption.TCP_NODELAY, true)
                 .childHandler(new ChannelInitializer<SocketChannel>() {
                     @Override
                     protected void initChannel(SocketChannel ch) {
@@ -98,7 +105,7 @@
     /** How long users have waited since the last call, as one line. */
     public String latency() {
         String line = "users: " + userLatency.getTotalCount() + " answers, median " + userLatency.getValueAtPercentile(50) / 1000.0 + " ms, 99% "
-                + userLatency.getValueAtPercentile(99) / 1000.0 + " ms, most " + userLatency.getMaxValue() / 1000.0 + " ms; " + connections + " connections";
+                + userLatency.getValueAtPercentile(99) / 1000.0 + " ms, most " + userLatency.getMaxValue() / 1000.0 + " ms; " + connections.size() + " connections";
         userLatency.reset();
         return line;
     }
@@ -130,17 +137,21 @@
             limit = ctx.executor().schedule(() -> ctx.close(), seconds, TimeUnit.SECONDS);
         }
 
-        void complete(ChannelHandlerContext ctx) {
+        /** A request has arrived whole. */
+        void complete(ChannelHandlerContext ctx, boolean worker) {
             inRequest = false;
-            begin(ctx, Tuning.IDLE_CONNECTION_S);
+            connections.addAndMoveToLast(ctx.channel());
+            begin(ctx, worker ? workerIdleS : Tuning.IDLE_CONNECTION_S);
         }
 
         @Override
         public void channelActive(ChannelHandlerContext ctx) {
-            if (++connections > settings.sockets() - Tuning.OWN_SOCKETS) {
-                ctx.close();
-                return;
+            // With all sockets taken the one longest quiet makes room: behind a cut half of the machines leave connections
+            // that look open, and refusing new ones would shut out all who can be reached.
+            if (connections.size() >= settings.sockets() - Tuning.OWN_SOCKETS) {
+                connections.removeFirst().close();
             }
+            connections.addAndMoveToLast(ctx.channel());
             begin(ctx, Tuning.IDLE_CONNECTION_S);
             ctx.fireChannelActive();
         }
@@ -156,7 +167,7 @@
 
         @Override
         public void channelInactive(ChannelHandlerContext ctx) {
-            connections--;
+            connections.remove(ctx.channel());
             if (limit != null) {
                 limit.cancel(false);
             }
@@ -175,14 +186,15 @@
 
         @Override
         protected void channelRead0(ChannelHandlerContext ctx, FullHttpRequest http) {
-            pace.complete(ctx);
             boolean keepAlive = HttpUtil.isKeepAlive(http);
             if (!http.decoderResult().isSuccess()) {
+                pace.complete(ctx, false);
                 send(ctx, false, 400, Map.of("error", "malformed HTTP"), 0);
                 return;
             }
             String path = http.uri();
             boolean user = path.startsWith(JOBS);
+            pace.complete(ctx, path.equals(HELLO));
             // A node that can't keep up serves its workers first, whose leases run; then submissions and cancellations, then polls.
             if (user && lagMs.getAsLong() > (http.method().equals(HttpMethod.GET) ? Tuning.SHED_POLLS_MS : Tuning.SHED_USERS_MS)) {
                 send(ctx, keepAlive, 503, Map.of(), Tuning.RETRY_AFTER_S);
@@ -205,7 +217,7 @@
         private Command command(ChannelHandlerContext ctx, boolean keepAlive, FullHttpRequest http, String path) {
             boolean post = http.method().equals(HttpMethod.POST);
             boolean get = http.method().equals(HttpMethod.GET);
-            if (post && path.equals("/hello")) {
+            if (post && path.equals(HELLO)) {
                 try {
                     WorkerReport report = WorkerFormat.report(Tree.cbor(bytes(http.content())));
                     return new Command.Report(current, report);
@@ -226,7 +238,7 @@
             if (get && path.equals("/ready")) {
                 return new Command.Ready(current);
             }
-            send(ctx, keepAlive, path.equals(JOBS) || path.equals("/hello") || path.equals("/ready") ? 405 : 404, Map.of("error", "no such path or method"), 0);
+            send(ctx, keepAlive, path.equals(JOBS) || path.equals(HELLO) || path.equals("/ready") ? 405 : 404, Map.of("error", "no such path or method"), 0);
             return null;
         }
 
--- a/src/test/java/org/shoreusher/net/ConnectionsTest.java
+++ b/src/test/java/org/shoreusher/net/ConnectionsTest.java
@@ -10,10 +10,14 @@
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 import java.util.List;
+import java.util.Map;
 import java.util.concurrent.TimeUnit;
 import net.jqwik.api.Example;
 import org.shoreusher.core.Effect;
 import org.shoreusher.core.WorkerOrder;
+import org.shoreusher.settings.Settings;
+import org.shoreusher.settings.Tuning;
+import org.shoreusher.user.FrontServer;
 import org.shoreusher.worker.WorkerClient;
 
 /** Connections to workers: on loopback, with a stand-in that answers and waits for the other side to hang up. */
@@ -43,4 +47,52 @@
             group.shutdownGracefully(0, 1, TimeUnit.SECONDS);
         }
     }
+
+    /**
+     * Behind a cut half of the machines leave connections that look open. The one longest quiet makes room when the sockets
+     * are taken; new ones were once refused, so that nobody could be served.
+     */
+    @Example
+    void theConnectionLongestQuietMakesRoom() throws Exception {
+        NioEventLoopGroup group = new NioEventLoopGroup(1);
+        int port;
+        try (ServerSocket free = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+            port = free.getLocalPort();
+        }
+        FrontServer front = new FrontServer(group, settings(port, Tuning.OWN_SOCKETS + 2), command -> true, () -> 0L);
+        front.listen();
+        try (Socket first = new Socket(InetAddress.getLoopbackAddress(), port); Socket second = new Socket(InetAddress.getLoopbackAddress(), port)) {
+            assertEquals(404, ask(first));
+            assertEquals(404, ask(second));
+            assertEquals(404, ask(first));
+            try (Socket third = new Socket(InetAddress.getLoopbackAddress(), port)) {
+                assertEquals(404, ask(third));
+                assertEquals(404, ask(first));
+                second.setSoTimeout(20_000);
+                assertEquals(-1, second.getInputStream().read());
+            }
+        } finally {
+            group.shutdownGracefully(0, 1, TimeUnit.SECONDS);
+        }
+    }
+
+    private static int ask(Socket socket) throws Exception {
+        socket.setSoTimeout(20_000);
+        socket.getOutputStream().write("GET /nothing HTTP/1.1\r\nhost: x\r\n\r\n".getBytes(StandardCharsets.US_ASCII));
+        byte[] bytes = new byte[4_096];
+        StringBuilder answer = new StringBuilder();
+        // The body ends with the message it holds, so that nothing of it is left for the next answer.
+        while (!answer.toString().endsWith("no such path or method")) {
+            int read = socket.getInputStream().read(bytes);
+            assertTrue(read > 0, "hung up after: " + answer);
+            answer.append(new String(bytes, 0, read, StandardCharsets.ISO_8859_1));
+        }
+        return Integer.parseInt(answer.substring("HTTP/1.1 ".length(), "HTTP/1.1 ".length() + 3));
+    }
+
+    private static Settings settings(int port, int sockets) {
+        Settings.Address front = new Settings.Address("127.0.0.1", port);
+        return new Settings("node", "a", front, front, List.of(), front, front, 3, List.of("a"), Map.of(), List.of(), 1.5, 8, 30, 400, 100, 4096, 12, 10, 3,
+                sockets, 80);
+    }
 }
