--- a/src/main/java/org/shoreusher/core/Job.java
+++ b/src/main/java/org/shoreusher/core/Job.java
@@ -26,6 +26,8 @@
     /** Final in the store, or taken away: nothing of it may start. */
     boolean closed;
     boolean finishing;
+    /** Which zones its tasks are in is not known: it has a rule on them, was begun under an owner before, and not all machines are heard. */
+    boolean zonesUnknown;
     /** Tasks that have been started at least once, as far as this owner knows. */
     int startedCount;
     private int observedCount;
--- a/src/main/java/org/shoreusher/core/Part.java
+++ b/src/main/java/org/shoreusher/core/Part.java
@@ -361,6 +361,7 @@
         });
         for (Job job : jobs.values()) {
             job.waitFrom(job.startBelow);
+            job.zonesUnknown = job.startBelow > 0 && (job.spec.oneZone() || job.spec.spread());
             finished(job);
         }
     }
@@ -424,6 +425,7 @@
         int live = 0;
         for (Job job : jobs.values()) {
             job.waitFrom(0);
+            job.zonesUnknown = false;
             live += job.live.size();
         }
         out.log("rebuilt: part " + n + " term " + term() + ", " + jobs.size() + " jobs, " + machines.size() + " machines, " + live + " tasks on them, after "
@@ -513,7 +515,7 @@
     List<Job> ordered() {
         List<Job> list = new ArrayList<>();
         for (Job job : jobs.values()) {
-            if (job.waitingCount > 0 && !job.closed && !job.paused(out.now.steadyMs())) {
+            if (job.waitingCount > 0 && !job.closed && !job.zonesUnknown && !job.paused(out.now.steadyMs())) {
                 list.add(job);
             }
         }
--- a/src/test/java/org/shoreusher/model/ReportsTest.java
+++ b/src/test/java/org/shoreusher/model/ReportsTest.java
@@ -108,7 +108,7 @@
      */
     @Example
     void whatWasNeverStartedNeedNotWaitForSilentMachines() {
-        node.begunJob("wk-1");
+        node.begunJob("wk-1", false);
         node.left("host-1", "host-2");
         node.steps(20);
         assertEquals(List.of(), node.startsOf("host-1", 1, 5), "made before it saw the new term");
@@ -120,6 +120,18 @@
         assertEquals(Set.of("wk-1/1"), Set.copyOf(started));
     }
 
+    /** A job whose tasks must be in one zone waits: the one that may be on the silent machine is in some zone, and nobody knows in which. */
+    @Example
+    void aJobOfOneZoneWaitsForSilentMachines() {
+        node.begunJob("wk-1", true);
+        node.left("host-1", "host-2");
+        node.steps(20);
+        for (int seq = 1; seq < 8; seq++) {
+            assertEquals(List.of(), node.startsOf("host-1", seq, seq == 1 ? 5 : 6));
+            node.steps(3);
+        }
+    }
+
     /**
      * The owner before kept a team to its limit, so what a silent machine may hold is no more than the limit leaves beside
      * what was found: 24 CPUs with 16 found on machines that were heard leave 8 for three silent ones, not 24. When one of the
@@ -127,7 +139,7 @@
      */
     @Example
     void silentMachinesHoldNoMoreThanTheLimitLeaves() {
-        node.begunJob("wk-1");
+        node.begunJob("wk-1", false);
         node.openJob("wk-2", 2, 8);
         node.left("host-1", "host-2", "host-3", "host-4", "host-5");
         node.steps(20);
--- a/src/test/java/org/shoreusher/model/SingleNode.java
+++ b/src/test/java/org/shoreusher/model/SingleNode.java
@@ -89,8 +89,8 @@
     }
 
     /** An open job of two tasks in the store, the first of which may have been started. */
-    void begunJob(String id) {
-        stored("job/" + id, Map.of("part", 0L, "status", "OPEN", "tasks", 2L, "accepted", now, "begun", 1L, "spec", UserFormat.map(spec(id, 2, 2))));
+    void begunJob(String id, boolean oneZone) {
+        stored("job/" + id, Map.of("part", 0L, "status", "OPEN", "tasks", 2L, "accepted", now, "begun", 1L, "spec", UserFormat.map(spec(id, 2, 2, oneZone))));
     }
 
     /** An open job of so many tasks in the store, any of which may have been started. */
@@ -99,10 +99,10 @@
     }
 
     void openJob(String id, int tasks, double cpus) {
-        stored("job/" + id, Map.of("part", 0L, "status", "OPEN", "tasks", (long) tasks, "accepted", now, "spec", UserFormat.map(spec(id, tasks, cpus))));
+        stored("job/" + id, Map.of("part", 0L, "status", "OPEN", "tasks", (long) tasks, "accepted", now, "spec", UserFormat.map(spec(id, tasks, cpus, false))));
     }
 
-    private static JobSpec spec(String id, int tasks, double cpus) {
-        return new JobSpec(id, "class", "team-0", JobSpec.Priority.HIGH, tasks, cpus, 0, 0, "i", 1, null, null, false, false, true, 5, 0, 0, Double.NaN);
+    private static JobSpec spec(String id, int tasks, double cpus, boolean oneZone) {
+        return new JobSpec(id, "class", "team-0", JobSpec.Priority.HIGH, tasks, cpus, 0, 0, "i", 1, null, null, oneZone, false, true, 5, 0, 0, Double.NaN);
     }
 }
