An owner that most of its workers can't reach gives its part up

Now nodes count workers that the owner has answered and that come to them, more than once and with newer reports each time, so that late copies don't count; an owner that hears so of 60% of its machines releases the part. Workers are kept between the nodes that are there for 3 s meanwhile. Also found: a release beside a renewal in flight was refused, and cost the whole lease.

--- a/src/main/java/org/shoreusher/core/Hint.java
+++ b/src/main/java/org/shoreusher/core/Hint.java
@@ -10,11 +10,12 @@
  * @param stateOk whether the state service has answered it lately
  * @param upS     seconds since the telling process started
  * @param parts   the parts it holds
+ * @param back    by part, workers that the part's owner has answered and that have come to this node since
  * @param running running tasks by job, for display
  * @param done    finished tasks by job, for display
  */
-public record Hint(String from, long sentWallMs, boolean stateOk, double upS, Map<Integer, PartHint> parts, Map<String, Integer> running,
-                   Map<String, Integer> done) {
+public record Hint(String from, long sentWallMs, boolean stateOk, double upS, Map<Integer, PartHint> parts, Map<Integer, Integer> back,
+                   Map<String, Integer> running, Map<String, Integer> done) {
 
     /**
      * How a part stands.
--- a/src/main/java/org/shoreusher/core/Holding.java
+++ b/src/main/java/org/shoreusher/core/Holding.java
@@ -25,6 +25,7 @@
     private final long fenceVersion;
     private final long takenAtMs;
     private final long takenTerm;
+    private long sinceMs;
     private long recordVersion;
     private long term;
     private boolean lost;
@@ -49,6 +50,7 @@
         fenceVersion = version;
         recordVersion = version;
         takenAtMs = out.now.steadyMs();
+        sinceMs = takenAtMs;
         lease = new PartLease(settings);
         lease.confirmed(record.expiryMs(), writtenAt);
         nextRenewMs = writtenAt.steadyMs() + PartLease.heartbeatMs(settings);
@@ -82,6 +84,11 @@
         return fenceVersion;
     }
 
+    /** Since when it has been held without a lapse. */
+    long sinceMs() {
+        return sinceMs;
+    }
+
     long takenAtMs() {
         return takenAtMs;
     }
@@ -152,6 +159,7 @@
             nextRenewMs = sentAt.steadyMs() + PartLease.heartbeatMs(settings);
             if (lapsedLogged && holds()) {
                 lapsedLogged = false;
+                sinceMs = out.now.steadyMs();
                 out.log("renewed: part " + n + " term " + term + " after a lapse, nobody had taken it");
             }
             if (records != null) {
@@ -227,12 +235,16 @@
 
     /**
      * Gives the part up so that another node can take it at once. This node acts for it no more from before the
-     * write is sent; if the write is lost, the lease runs out as after a crash.
+     * write is sent; if the write is lost, the lease runs out as after a crash. Beside a renewal in flight it would be
+     * refused for the record's version, so it has to wait for that.
      */
-    void release(Map<String, Object> done) {
+    void release(String why, Map<String, Object> done) {
+        if (renewing) {
+            return;
+        }
         PartRecord record = new PartRecord(owner, 0, term, done);
         if (out.renewal(new StateOp.Multi(guards(Keys.part(n), recordVersion), Map.of(Keys.part(n), record.write())), reply -> { })) {
-            lose("released for a node that holds fewer");
+            lose("released: " + why);
         }
     }
 
--- a/src/main/java/org/shoreusher/core/Node.java
+++ b/src/main/java/org/shoreusher/core/Node.java
@@ -34,6 +34,8 @@
     private long startedMs = -1;
     /** When this node last told peers that the state service does not answer it. */
     private long saidStateAwayMs;
+    /** Workers that have come here from the part's owner, by part. */
+    private final Returners[] returners;
     /** CPUs of jobs dealt to each part since the last hints went round. */
     private final double[] dealt;
 
@@ -44,6 +46,8 @@
     public Node(Settings settings, String owner, int count) {
         this.settings = settings;
         dealt = new double[count];
+        returners = new Returners[count];
+        Arrays.setAll(returners, n -> new Returners());
         out = new Outbox(settings, count);
         mirror = new Mirror(out, this::changed);
         types = new Types(out, mirror);
@@ -121,6 +125,15 @@
         return saidStateAwayMs + Tuning.HINT_STALE_MS + 2 * settings.clockOffMs() + Tuning.LEASE_MARGIN_MS;
     }
 
+    @Override
+    public int cameBack(int part) {
+        int workers = 0;
+        for (Hint h : hints.values()) {
+            workers += fresh(h) && h.stateOk() ? h.back().getOrDefault(part, 0) : 0;
+        }
+        return workers;
+    }
+
     private boolean fresh(Hint h) {
         return out.now.steadyMs() - hintedAt.get(h.from()) < Tuning.HINT_STALE_MS;
     }
@@ -145,7 +158,9 @@
                 out.answer(r.request(), 421, WorkerFormat.elsewhere(host));
             }
         } else {
-            out.answer(r.request(), 421, WorkerFormat.elsewhere(record.host()));
+            boolean wait = r.report().token() >= record.term() && returners[n].came(r.report(), index.all().size(), out.now.steadyMs());
+            String host = wait ? meanwhile(record.host()) : null;
+            out.answer(r.request(), 421, WorkerFormat.elsewhere(host == null ? record.host() : host));
         }
     }
 
@@ -184,7 +199,12 @@
                 jobChanged(key.substring(Keys.JOB.length()), JobRecord.read(after.value()));
             }
         } else if (key.startsWith(Keys.PART) && key.indexOf('/', Keys.PART.length()) < 0 && after != null) {
-            parts.recordChanged(Integer.parseInt(key.substring(Keys.PART.length())), PartRecord.read(after.value()));
+            int n = Integer.parseInt(key.substring(Keys.PART.length()));
+            PartRecord record = PartRecord.read(after.value());
+            if (before == null || !PartRecord.read(before.value()).owner().equals(record.owner())) {
+                returners[n].clear();
+            }
+            parts.recordChanged(n, record);
         } else if (key.startsWith(Keys.MACHINE)) {
             index.changed(key, before, after, this::machineChanged);
         } else if (key.equals(Keys.TYPES) && after != null) {
@@ -284,10 +304,15 @@
         nextHintMs = out.now.steadyMs() + Tuning.HINT_MS;
         Arrays.fill(dealt, 0);
         HashMap<Integer, PartHint> held = new HashMap<>();
+        HashMap<Integer, Integer> back = new HashMap<>();
         HashMap<String, Integer> running = new HashMap<>();
         HashMap<String, Integer> finished = new HashMap<>();
         for (int n = 0; n < parts.count(); n++) {
             Part part = parts.owned(n);
+            int workers = returners[n].count(out.now.steadyMs());
+            if (workers > 0) {
+                back.put(n, workers);
+            }
             if (part != null && part.holds()) {
                 held.put(n, part.hint());
                 for (Job job : part.jobs().values()) {
@@ -298,6 +323,6 @@
         }
         boolean stateOk = out.stateSilenceMs() < Tuning.READY_STATE_MS;
         saidStateAwayMs = stateOk ? saidStateAwayMs : out.now.steadyMs();
-        out.add(new Effect.Tell(new Hint(settings.host(), out.now.wallMs(), stateOk, (out.now.steadyMs() - startedMs) / 1000.0, held, running, finished)));
+        out.add(new Effect.Tell(new Hint(settings.host(), out.now.wallMs(), stateOk, (out.now.steadyMs() - startedMs) / 1000.0, held, back, running, finished)));
     }
 }
--- a/src/main/java/org/shoreusher/core/Part.java
+++ b/src/main/java/org/shoreusher/core/Part.java
@@ -34,6 +34,9 @@
         /** Whether every other member has just said that the state service does not answer it either. */
         boolean stateAwayEverywhere();
 
+        /** How many workers of this part's owner have come to others lately. */
+        int cameBack(int part);
+
         /** steady ms up to which another node may have heard this one say so. */
         long saidStateAwayUntilMs();
     }
@@ -116,9 +119,24 @@
         return holding.term();
     }
 
-    /** Gives the part up, for a node that holds fewer. */
-    void release() {
-        holding.release(finished().chunk(0));
+    /** Gives the part up to another node, unless a renewal is just in flight; then it is lost from here on. */
+    void release(String why) {
+        holding.release(why, finished().chunk(0));
+    }
+
+    /**
+     * Whether most of its workers can't reach this node although it holds the lease: they have come to others. Kept
+     * until the network is whole again, the part would lose all that runs on them.
+     */
+    boolean unreachable() {
+        if (!loaded || !holds() || out.now.steadyMs() - holding.sinceMs() < Tuning.COMES_BACK_MS) {
+            return false;
+        }
+        int up = 0;
+        for (Machine m : machines.values()) {
+            up += m.state == Machine.State.UP ? 1 : 0;
+        }
+        return others.cameBack(n) > Math.max(1, up * Tuning.UNREACHED_SHARE);
     }
 
     private FinishedRecords finished() {
--- a/src/main/java/org/shoreusher/core/Parts.java
+++ b/src/main/java/org/shoreusher/core/Parts.java
@@ -77,6 +77,10 @@
         for (int n = 0; n < owned.length; n++) {
             if (owned[n] != null) {
                 owned[n].step();
+                if (owned[n].unreachable()) {
+                    owned[n].release("most of its workers reach others, not this node");
+                    nextTakeMs = out.now.steadyMs() + Tuning.LEAVE_TO_OTHERS_MS;
+                }
                 if (owned[n].lost()) {
                     owned[n] = null;
                 }
@@ -116,7 +120,7 @@
         }
         for (Part part : owned) {
             if (part != null && part.holds() && part.rebuilt()) {
-                part.release();
+                part.release("for a node that holds fewer");
                 return;
             }
         }
--- a/src/main/java/org/shoreusher/peer/HintCodec.java
+++ b/src/main/java/org/shoreusher/peer/HintCodec.java
@@ -57,6 +57,11 @@
                     out.writeDouble(claim.other());
                 });
             });
+            out.writeVarInt(h.back().size(), true);
+            h.back().forEach((n, workers) -> {
+                out.writeVarInt(n, true);
+                out.writeVarInt(workers, true);
+            });
             counts(out, h.running());
             counts(out, h.done());
         }
@@ -82,7 +87,11 @@
             for (int i = entries(in); i > 0; i--) {
                 parts.put(in.readVarInt(true), new PartHint(in.readDouble(), in.readVarInt(true), in.readVarInt(true), claims(in)));
             }
-            return new Hint(from, sentWallMs, stateOk, upS, parts, counts(in), counts(in));
+            Map<Integer, Integer> back = new HashMap<>();
+            for (int i = entries(in); i > 0; i--) {
+                back.put(in.readVarInt(true), in.readVarInt(true));
+            }
+            return new Hint(from, sentWallMs, stateOk, upS, parts, back, counts(in), counts(in));
         }
 
         private static Map<String, Claim> claims(Input in) {
--- a/src/main/java/org/shoreusher/settings/Tuning.java
+++ b/src/main/java/org/shoreusher/settings/Tuning.java
@@ -48,6 +48,19 @@
     /** ms; a machine must have been idle for so long before it is handed to another part. */
     public static final long HANDOVER_IDLE_MS = 1_000;
 
+    /** ms; a worker that can't reach an owner comes to another node about so often: its patience of 4 s, a pause of 1 s, and the time it is kept waiting. */
+    public static final long COMES_BACK_MS = 8_000;
+    /** ms; a worker that was kept waiting asks every half second; after a longer pause it has been with the owner again. */
+    public static final long CAME_ANEW_MS = 2_000;
+    /** ms; a worker that comes from an owner is kept waiting so long for the part to be given up. */
+    public static final long KEPT_WAITING_MS = 3_000;
+    /** share of all machines that must come for them to be kept waiting. */
+    public static final double MANY_COME_SHARE = 0.2;
+    /** share of its machines that must have come to others before an owner gives the part up: a zone cut off has about half. */
+    public static final double UNREACHED_SHARE = 0.6;
+    /** ms; who has given a part up for this leaves it to others so long. */
+    public static final long LEAVE_TO_OTHERS_MS = 15_000;
+
     /** ms; how often an owner looks over all of its machines and jobs; reports are answered in between. */
     public static final long WALK_MS = 100;
     /** machines times jobs that a plan may look at per ms since the last one: one of 300 free machines and 30 jobs is 5,700 and takes 2.4 ms of a whole core, so it is kept 15 ms. */
--- a/src/test/java/org/shoreusher/model/ClusterModelTest.java
+++ b/src/test/java/org/shoreusher/model/ClusterModelTest.java
@@ -269,6 +269,21 @@
         assertTrue(rebuilt.get(1) < 60_000 + 13_000, () -> "rebuilt at " + rebuilt);
     }
 
+    /**
+     * An owner loses its workers, but neither state service nor peers: it gives the part up when others tell that its workers
+     * come to them, before their leases end. Else all that runs is lost, and nothing runs until the network is whole.
+     */
+    @Example
+    void anOwnerThatItsWorkersDoNotReachGivesThePartUp() {
+        for (long seed : new long[] {0, 3, 6}) {
+            World w = world(seed, Sabotage.NONE, List.of(new Trouble(60_000,
+                    x -> owners(x).forEach(p -> x.cloud.machines().forEach(m -> x.cut(p.host, m.id, 40_000))))));
+            assertEquals(List.of(), w.rules.violations);
+            assertTrue(w.log.stream().anyMatch(l -> l.contains("released: most")), () -> String.join("\n", w.log));
+            assertTrue(rebuiltAfter(w, 60_000) < 60_000 + 14_000, () -> String.join("\n", w.log));
+        }
+    }
+
     /** An owner ends; whoever takes its part ends in the middle of it, and is back before anybody else has noticed. */
     @Example
     void takersThatEndInTheMiddleOfItDoNoHarm() {
