Tests: repeats of every kind of message, zones cut off, a thousand machines

Every message of the generated worlds may come once more, up to 40 s late; zones are cut off with the node in them; two worlds run with over a thousand machines through a zone cut, ended owners, a standing controller and a third of the machines lost.

--- a/src/test/java/org/shoreusher/model/CloudModel.java
+++ b/src/test/java/org/shoreusher/model/CloudModel.java
@@ -12,17 +12,18 @@
 final class CloudModel {
     static final String TYPE = "box";
     static final double CPUS = 8;
-    private static final int CAPACITY = 8;
 
     private final World world;
+    private final int capacity;
     private final TreeMap<String, WorkerModel> machines = new TreeMap<>();
     private final TreeMap<Long, List<Object>> lists = new TreeMap<>();
     private final Map<String, Map<String, Object>> hires = new HashMap<>();
     private long outageUntil;
     private int named;
 
-    CloudModel(World world) {
+    CloudModel(World world, int capacity) {
         this.world = world;
+        this.capacity = capacity;
         snapshot();
     }
 
@@ -89,7 +90,7 @@
             return;
         }
         long used = machines.values().stream().filter(w -> w.zone.equals(rent.zone()) && w.spot == rent.spot()).count();
-        int count = (int) Math.min(rent.count(), CAPACITY - used);
+        int count = (int) Math.min(rent.count(), capacity - used);
         if (count <= 0) {
             reply.answer(503, Map.of("error", "no capacity"));
             return;
--- a/src/test/java/org/shoreusher/model/ClusterModelTest.java
+++ b/src/test/java/org/shoreusher/model/ClusterModelTest.java
@@ -6,6 +6,7 @@
 
 import java.util.ArrayList;
 import java.util.Collections;
+import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Random;
@@ -59,7 +60,7 @@
             int node = r.nextInt(3);
             long length = 500 + r.nextInt(30_000);
             String host = "node-" + node;
-            list.add(new Trouble(at, switch (r.nextInt(17)) {
+            list.add(new Trouble(at, switch (r.nextInt(18)) {
                 case 0 -> w -> w.processes.get(node).kill(200 + length / 4);
                 case 1 -> w -> w.processes.forEach(p -> p.kill(200 + w.random.nextInt(4_000)));
                 case 2 -> w -> w.state.outage(length);
@@ -118,6 +119,7 @@
                     };
                     w.processes.get(node).kill(100 + length / 4);
                 };
+                case 16 -> w -> w.cutZone("b", host, length);
                 default -> w -> {
                     for (WorkerModel m : w.cloud.machines()) {
                         if (w.random.nextInt(3) == 0) {
@@ -136,6 +138,7 @@
         assertEquals(List.of(), w.rules.violations, () -> "seed " + seed + "\n" + String.join("\n", w.log));
         assertTrue(w.rules.starts > 100, "hardly anything ran: " + w.rules.starts);
         assertTrue(w.copies > 10, "hardly any late copies: " + w.copies);
+        assertTrue(w.repeats > 100, "hardly any repeats: " + w.repeats);
     }
 
     @Property(tries = 15, seed = "815", shrinking = ShrinkingMode.OFF)
@@ -239,9 +242,11 @@
         assertTrue(rebuilt.get(2) < 60_000 + 9_500, () -> "rebuilt at " + rebuilt);
     }
 
-    /** Processes that have taken a part. */
+    /** For each part, the process that took it last. */
     private static List<World.Process> owners(World w) {
-        return w.processes.stream().filter(p -> w.log.stream().anyMatch(l -> l.contains(p.host + " takeover"))).toList();
+        Map<String, String> last = new HashMap<>();
+        w.log.stream().map(l -> l.split(" ")).filter(l -> l[2].equals("takeover:")).forEach(l -> last.put(l[4], l[1]));
+        return w.processes.stream().filter(p -> last.containsValue(p.host)).toList();
     }
 
     /** When a part was first rebuilt after a moment. */
@@ -284,6 +289,42 @@
         }
     }
 
+    /**
+     * A thousand machines: owners end while a zone is cut off from everything, a controller stands still, and many machines
+     * stop at once. A few worlds of bounded work; what is lost is made good, and no rule is broken.
+     */
+    @Example
+    void aThousandMachines() {
+        Map<String, Settings.Team> teams = Map.of("team-0", new Settings.Team("team-0", 3_000, 5_000, 0, 0), "team-1", new Settings.Team("team-1", 3_000, 8_000, 0, 0));
+        Settings s = settings();
+        Settings large = new Settings(s.host(), s.zone(), s.front(), s.back(), s.members(), s.cloud(), s.state(), s.nodes(), s.zones(), teams, s.objectives(), 5, 26, 46,
+                s.stateRps(), s.stateWriteRps(), 8_192, 20, 10, 3, 2_600, 25);
+        for (int parts = 1; parts <= 2; parts++) {
+            World w = new World(parts, large, parts, Sabotage.NONE, 250);
+            for (int i = 0; i < 60; i++) {
+                w.users.submit(new UserModel.Wish(new JobSpec(String.format("wk-%06d", i), "class", "team-" + i % 2, JobSpec.Priority.values()[1 + i % 3], 120, 4, 0, 1,
+                        "img-" + i % 5, 1, null, null, i % 10 == 0, i % 10 == 1, true, 8, 0, 0, Double.NaN), i % 15 == 2, 15_000), 1_000 + i * 1_000L);
+            }
+            w.quietFrom = 120_000;
+            w.run(200_000, List.of(new Trouble(40_000, x -> x.cutZone("b", "node-1", 35_000)),
+                    new Trouble(45_000, x -> owners(x).forEach(p -> p.kill(300))),
+                    new Trouble(70_000, x -> x.processes.get(2).starve(12_000)),
+                    new Trouble(85_000, x -> {
+                        int n = 0;
+                        for (WorkerModel m : x.cloud.machines()) {
+                            if (n++ % 3 == 0) {
+                                x.cloud.take(m);
+                            }
+                        }
+                    })));
+            w.rules.end();
+            assertEquals(List.of(), w.rules.violations, () -> String.join("\n", w.log));
+            long machines = w.log.stream().filter(l -> l.contains("rented: ")).mapToLong(l -> Long.parseLong(l.replaceAll(".*rented: (\\d+) of.*", "$1"))).sum();
+            assertTrue(machines > 1_000, () -> "rented " + machines);
+            assertEquals(0, w.users.wishes.values().stream().filter(x -> !x.doneTold && !x.cancelTold).count());
+        }
+    }
+
     /** An owner ends; whoever takes its part ends in the middle of it, and is back before anybody else has noticed. */
     @Example
     void takersThatEndInTheMiddleOfItDoNoHarm() {
--- a/src/test/java/org/shoreusher/model/World.java
+++ b/src/test/java/org/shoreusher/model/World.java
@@ -50,20 +50,26 @@
     private final Map<String, Long> cuts = new HashMap<>();
     private long orders;
     long now;
-    /** Late copies of reports that have come. */
+    /** Late copies of reports that have come, and repeats of messages of any kind. */
     int copies;
+    int repeats;
     /** From here on no trouble goes on, and every question must find its answer. */
     long quietFrom = Long.MAX_VALUE;
     /** Told of every takeover, with the process that took the part. */
     Consumer<Process> onTakeover = p -> { };
 
     World(long seed, Settings settings, int parts, Sabotage sabotage) {
+        this(seed, settings, parts, sabotage, 8);
+    }
+
+    /** @param capacity machines of each kind that the cloud has, of which there are four */
+    World(long seed, Settings settings, int parts, Sabotage sabotage, int capacity) {
         this.parts = parts;
         random = new Random(seed);
         this.settings = settings;
         this.sabotage = sabotage;
         state = new StateModel(this);
-        cloud = new CloudModel(this);
+        cloud = new CloudModel(this, capacity);
         users = new UserModel(this);
         rules = new Rules(this);
         for (int i = 0; i < settings.nodes(); i++) {
@@ -99,7 +105,11 @@
         return a.compareTo(b) < 0 ? a + "|" + b : b + "|" + a;
     }
 
-    /** Delivers a message after some ms; held by a cut, it comes after it. One in 500 comes twice as late as a timeout. */
+    /**
+     * Delivers a message after some ms; held by a cut, it comes after it. One in 500 comes twice as late as a timeout, and one
+     * in 80 comes once more, up to 40 s later: submissions, cancellations, transactions, rentals, returns, direct commands,
+     * hints, and all their answers.
+     */
     void send(String from, String to, Runnable arrive) {
         long delay = 1 + random.nextInt(8);
         // More of them where late answers are to do harm.
@@ -108,6 +118,29 @@
         }
         long until = cuts.getOrDefault(pair(from, to), 0L);
         at(Math.max(now, until) + delay, arrive);
+        if (random.nextInt(80) == 0) {
+            at(Math.max(now, until) + delay + 1 + random.nextInt(random.nextBoolean() ? 200 : 40_000), () -> {
+                repeats++;
+                arrive.run();
+            });
+        }
+    }
+
+    /** Cuts a zone off from everything: its machines and the node that is in it still reach each other. */
+    void cutZone(String zone, String nodeInIt, long forMs) {
+        cut(nodeInIt, "state", forMs);
+        cut(nodeInIt, "cloud", forMs);
+        cut(nodeInIt, "user", forMs);
+        for (Process p : processes) {
+            if (!p.host.equals(nodeInIt)) {
+                cut(nodeInIt, p.host, forMs);
+                for (WorkerModel m : cloud.machines()) {
+                    if (m.zone.equals(zone)) {
+                        cut(p.host, m.id, forMs);
+                    }
+                }
+            }
+        }
     }
 
     static Map<String, Object> copy(Map<String, Object> value) {
