--- a/src/main/java/org/shoreusher/core/Preemption.java
+++ b/src/main/java/org/shoreusher/core/Preemption.java
@@ -15,9 +15,13 @@
     private final Object2DoubleOpenHashMap<String> teamRelief = new Object2DoubleOpenHashMap<>();
     private final List<Live> victims = new ArrayList<>();
     private final List<Live> chosen = new ArrayList<>();
+    private final Urgency urgency;
+    private final Reading now;
     private double relief;
 
     Preemption(Part part, Urgency urgency, Reading now) {
+        this.urgency = urgency;
+        this.now = now;
         for (Machine m : part.machines().values()) {
             for (Live live : m.tasks.values()) {
                 if (live.stopping || live.doomed) {
@@ -37,8 +41,9 @@
     /** Chooses for the jobs in order; {@code planner} has the room that is free now. */
     List<Live> choose(List<Job> ordered, Planner planner) {
         for (Job job : ordered) {
-            if (job.spec.priority().compareTo(JobSpec.Priority.HIGH) > 0 || job.suspect()) {
-                break;
+            boolean high = job.spec.priority().compareTo(JobSpec.Priority.HIGH) <= 0;
+            if (job.suspect() || !(high || (job.spec.priority() == JobSpec.Priority.NORMAL && urgency.pressing(job, now.wallMs())))) {
+                continue;
             }
             JobSpec spec = job.spec;
             int overLimit = job.waitingCount - planner.allowedByTeam(spec);
--- a/src/main/java/org/shoreusher/core/Urgency.java
+++ b/src/main/java/org/shoreusher/core/Urgency.java
@@ -56,6 +56,12 @@
         return r.slackS() < 0 || r.slackS() > Tuning.SPARE_SLACK_S;
     }
 
+    /** Whether the job's last chance to meet an aim is near and not yet gone. */
+    boolean pressing(Job job, long wallMs) {
+        double slackS = rank(job, wallMs).slackS();
+        return slackS >= 0 && slackS < Tuning.PRESSING_SLACK_S;
+    }
+
     private Rank rank(Job job, long wallMs) {
         double ageS = (wallMs - job.acceptedMs) / 1000.0;
         double needS = needS(job);
--- a/src/main/java/org/shoreusher/settings/Tuning.java
+++ b/src/main/java/org/shoreusher/settings/Tuning.java
@@ -175,6 +175,8 @@
     public static final long START_COUNTS_MS = 32_000;
     /** s; a job whose last chance to start is further away can spare a running task. */
     public static final double SPARE_SLACK_S = 60;
+    /** s; a job of normal priority whose last chance to start is nearer than this may have tasks of low priority stopped. */
+    public static final double PRESSING_SLACK_S = 20;
     /** times the save time that a stopped task is given, as machines differ in speed. */
     public static final double SAVE_SLACK = 2;
 
