--- a/src/main/java/org/shoreusher/core/Placement.java
+++ b/src/main/java/org/shoreusher/core/Placement.java
@@ -20,6 +20,8 @@
     private final Object2ObjectOpenHashMap<Machine, List<Planner.Placed>> shares = new Object2ObjectOpenHashMap<>();
     /** Tasks that no machine had room for, by job, most pressing first. */
     private final Object2IntLinkedOpenHashMap<Job> rest = new Object2IntLinkedOpenHashMap<>();
+    /** Machines that are kept until they have room for a job that found none. */
+    private final Object2ObjectOpenHashMap<Machine, Job> kept = new Object2ObjectOpenHashMap<>();
     private long nextMs = Long.MIN_VALUE;
 
     Placement(Part part, Outbox out, StartMarks marks) {
@@ -54,6 +56,9 @@
             if (tried.add(job)) {
                 place(now, job, 0);
             }
+            if (kept.get(m) == job && job.waitingCount > 0) {
+                break;
+            }
         }
         return now.placed();
     }
@@ -74,17 +79,22 @@
     private void plan() {
         shares.clear();
         rest.clear();
+        kept.clear();
         List<Job> jobs = part.ordered();
         if (jobs.isEmpty()) {
             return;
         }
         Planner planner = part.planner();
+        double keepable = part.cpus() * Tuning.KEPT_SHARE;
         double ahead = part.cpus() * Tuning.MARKED_AHEAD;
         for (Job job : jobs) {
             int allowed = Math.min(job.waitingCount, planner.allowedByTeam(job.spec));
             int left = planner.place(job, job.waitingCount);
             if (left > 0) {
                 rest.put(job, left);
+                List<Machine> keep = planner.keep(job.spec, (int) Math.min(left, keepable / Math.max(Tuning.EPSILON, job.spec.cpus())));
+                keepable -= keep.size() * job.spec.cpus();
+                keep.forEach(m -> kept.put(m, job));
             }
             // What is about to be started, and what comes next when a machine has room again.
             int next = (int) Math.min(left, Math.ceil(ahead / Math.max(Tuning.EPSILON, job.spec.cpus())));
--- a/src/main/java/org/shoreusher/core/Planner.java
+++ b/src/main/java/org/shoreusher/core/Planner.java
@@ -70,6 +70,8 @@
 
     private static final Comparator<Slot> ORDER = Comparator.comparingDouble((Slot s) -> s.rank).thenComparing(s -> s.machine == null ? "~" : s.machine.id);
 
+    private static final Comparator<Slot> ORDER_BY_ROOM = Comparator.comparingDouble((Slot s) -> s.cpus).thenComparing(s -> s.machine == null ? "~" : s.machine.id);
+
     private final ToDoubleFunction<String> cpusLeft;
     private final ToDoubleFunction<String> gpusLeft;
     private final Object2DoubleOpenHashMap<String> cpusPlanned = new Object2DoubleOpenHashMap<>();
@@ -153,6 +155,23 @@
         return left;
     }
 
+    /**
+     * Keeps machines that are partly free for a job that found no room, the emptiest first: filled up with smaller tasks again
+     * and again they would never have room for a larger one. Returns those that are kept.
+     */
+    List<Machine> keep(JobSpec spec, int wanted) {
+        List<Machine> kept = new ArrayList<>();
+        slots.sort(ORDER_BY_ROOM);
+        for (int i = slots.size() - 1; i >= 0 && kept.size() < wanted; i--) {
+            Slot slot = slots.get(i);
+            if (slot.machine != null && spec.allows(slot.type.name(), slot.zone, slot.spot) && slot.type.fits(spec) && slot.fits(spec) == 0) {
+                kept.add(slot.machine);
+                slots.remove(i);
+            }
+        }
+        return kept;
+    }
+
     /**
      * What the image's fetch costs on a machine that has not got it, in CPUs: the share of the task's time on
      * its machine that would go into fetching. A slightly emptier machine with the image comes first.
--- a/src/main/java/org/shoreusher/settings/Tuning.java
+++ b/src/main/java/org/shoreusher/settings/Tuning.java
@@ -144,6 +144,8 @@
     /** ms; longest such pause. */
     public static final long FAIL_PAUSE_MAX_MS = 30_000;
 
+    /** share of a part's CPUs that may be kept for larger tasks until machines have room for them. */
+    public static final double KEPT_SHARE = 0.1;
     /** share of a part's CPUs for which tasks are marked as startable beyond those that a plan has room for: what ends between two plans. */
     public static final double MARKED_AHEAD = 0.05;
     /** jobs whose marks go into one write; a record with its description is below 1 KiB. */
