--- a/src/test/java/org/shoreusher/core/OwnerPiecesTest.java
+++ b/src/test/java/org/shoreusher/core/OwnerPiecesTest.java
@@ -1,6 +1,7 @@
 package org.shoreusher.core;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertNull;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
@@ -65,6 +66,29 @@
         assertTrue(mirror.loaded());
     }
 
+    /** A watch answer that is too long fails each time it is asked for; a view that stays too old is read in pages instead. */
+    @Example
+    void aViewWhoseWatchKeepsFailingIsReadInPages() {
+        Outbox out = new Outbox(settings(List.of()), 1);
+        Mirror mirror = new Mirror(out, (key, before, after) -> { });
+        out.now = new Reading(1_000, 1_000);
+        mirror.step();
+        asked(out);
+        out.replied(new StateReply(1, 200, Map.of("entries", List.of(), "more", false, "ledger", 5L)));
+        mirror.step();
+        asked(out);
+        out.replied(new StateReply(2, 200, Map.of("ledger", 5L, "log", List.of())));
+        StateOp last = null;
+        for (int call = 3; call < 100 && !(last instanceof StateOp.Page); call++) {
+            out.now = new Reading(out.now.steadyMs() + 500, out.now.wallMs() + 500);
+            mirror.step();
+            last = asked(out);
+            assertTrue(last instanceof StateOp.Page == out.now.steadyMs() > 21_000 + 500, "at " + out.now.steadyMs() + " asked for " + last);
+            out.replied(new StateReply(call, 0, null));
+        }
+        assertTrue(last instanceof StateOp.Page);
+    }
+
     // ---- shares of limits ----------------------------------------------------------------------
 
     @Property(tries = 300, seed = "21")
@@ -118,6 +142,18 @@
         assertEquals(List.of("wk-4", "wk-2", "wk-3", "wk-1"), jobs.stream().map(j -> j.id).toList());
     }
 
+    /** Only a job whose last chance is near and not yet gone is worth stopping another's tasks for. */
+    @Example
+    void aJobPressesShortlyBeforeItsLastChance() {
+        Urgency urgency = new Urgency(settings(List.of(new Settings.Objective("deadline", "rush", Double.NaN, 0.9, 1))), new Estimates());
+        Job job = job("wk-1", "rush", JobSpec.Priority.NORMAL, 1, 30, 100, 0);
+        // It takes 30 s and a start of 2 s, so the last chance is at 68 s.
+        assertFalse(urgency.pressing(job, 40_000));
+        assertTrue(urgency.pressing(job, 50_000));
+        assertTrue(urgency.pressing(job, 67_000));
+        assertFalse(urgency.pressing(job, 70_000));
+    }
+
     /** Urgent work that keeps coming must not keep a job, however large or low, from beginning within four minutes. */
     @Example
     void whatHasNotBegunForLongComesFirst() {
--- a/src/test/java/org/shoreusher/core/PiecesTest.java
+++ b/src/test/java/org/shoreusher/core/PiecesTest.java
@@ -142,6 +142,24 @@
         assertEquals(2, planner.placed().get(0).count());
     }
 
+    /**
+     * A job that needs a whole machine waits behind smaller tasks that fill each half that comes free. The emptiest machine is
+     * kept for it, and no other job of the plan gets it; a machine that could never have room is not.
+     */
+    @Example
+    void aMachineIsKeptForALargerTask() {
+        Machine half = new Machine("m-half", TYPE, "a", true, 0);
+        Machine full = new Machine("m-full", TYPE, "a", true, 0);
+        half.cpusUsed = 4;
+        full.cpusUsed = 7;
+        Planner planner = new Planner(new ArrayList<>(List.of(new Planner.Slot(half), new Planner.Slot(full))), t -> 100, t -> 0);
+        assertEquals(1, planner.place(new Job("wk-1", spec("wk-1", 1, 8, null, false, false, true), 0), 1));
+        assertEquals(List.of(half), planner.keep(spec("wk-1", 1, 8, null, false, false, true), 1));
+        assertEquals(2, planner.place(new Job("wk-2", spec("wk-2", 3, 1, null, false, false, true), 0), 3));
+        assertEquals(List.of("m-full"), planner.placed().stream().map(p -> p.slot().machine.id).toList());
+        assertEquals(List.of(), planner.keep(spec("wk-3", 1, 9, null, false, false, true), 1), "no machine of this type ever has 9 CPUs");
+    }
+
     /** Records stay below the value limit whatever is finished, and lose nothing that they call durable. */
     @Property(tries = 150, seed = "12")
     void finishedRecordsFitAndAreTrue(@ForAll @LongRange(min = 0) long seed) {
--- a/src/test/java/org/shoreusher/model/ReportsTest.java
+++ b/src/test/java/org/shoreusher/model/ReportsTest.java
@@ -6,6 +6,7 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
@@ -220,6 +221,38 @@
         assertTrue(ranAt < agreed + 2_500, "too late: " + ranAt);
     }
 
+    /**
+     * Rentals go out side by side; one without an answer may have been carried out, so it is repeated under its own name, one at a
+     * time while they fail, and no name is asked for again once it is answered.
+     */
+    @Example
+    void rentalsKeepTheirNamesUntilAnswered() {
+        List<CloudOp.Rent> asked = new ArrayList<>();
+        Map<String, CloudOp.Rent> open = new HashMap<>();
+        node.cloud = op -> {
+            if (!(op instanceof CloudOp.Rent rent)) {
+                return new Command.CloudReply(0, 0, null);
+            }
+            asked.add(rent);
+            assertTrue(asked.size() <= 2 || open.containsKey(rent.name()), "asked again after its answer, or more than is wanted: " + rent);
+            assertTrue(!open.containsKey(rent.name()) || open.get(rent.name()).equals(rent), "another request under the name of " + rent);
+            open.put(rent.name(), rent);
+            if (asked.size() < 6) {
+                return new Command.CloudReply(0, 0, null);
+            }
+            open.remove(rent.name());
+            return new Command.CloudReply(0, 200, Map.of("boxes", List.of("host-" + asked.size())));
+        };
+        node.left();
+        node.steps(20);
+        // A twelfth of its tasks at once, so two machines, in two zones.
+        node.openJob("wk-1", 24, 8);
+        node.steps(200);
+        assertEquals(2, asked.stream().map(CloudOp.Rent::name).distinct().count(), "one request a zone: " + asked);
+        assertTrue(open.isEmpty(), "all are answered in the end");
+        assertTrue(asked.size() > 6, "repeated: " + asked);
+    }
+
     private static TaskReport[] running(String job, List<String> startedElsewhere) {
         return startedElsewhere.contains("run") ? new TaskReport[0] : new TaskReport[] {new TaskReport(job, 0, (6L << 24) + 1, TaskState.RUNNING, Cause.NONE)};
     }
