Reread: workers kept waiting are counted once, no sorting for nothing, a comment set right

A worker that is kept waiting goes between two nodes and was counted by both, so 30% of the machines could make an owner give up instead of 60%: the largest count of one node is taken, not the sum.

--- a/src/main/java/org/shoreusher/core/Fleet.java
+++ b/src/main/java/org/shoreusher/core/Fleet.java
@@ -84,7 +84,7 @@
         }
     }
 
-    /** Has the next plan made at once, since the last one could not ask for all that it wanted. */
+    /** All requests of the last plan are answered: the next one, made at once, may want more. */
     void planSoon() {
         nextPlanMs = out.now.steadyMs();
     }
--- a/src/main/java/org/shoreusher/core/Node.java
+++ b/src/main/java/org/shoreusher/core/Node.java
@@ -129,7 +129,8 @@
     public int cameBack(int part) {
         int workers = 0;
         for (Hint h : hints.values()) {
-            workers += fresh(h) && h.stateOk() ? h.back().getOrDefault(part, 0) : 0;
+            // Not their sum: one that is kept waiting goes from one to the other and back.
+            workers = Math.max(workers, fresh(h) && h.stateOk() ? h.back().getOrDefault(part, 0) : 0);
         }
         return workers;
     }
--- a/src/main/java/org/shoreusher/core/Part.java
+++ b/src/main/java/org/shoreusher/core/Part.java
@@ -34,7 +34,7 @@
         /** Whether every other member has just said that the state service does not answer it either. */
         boolean stateAwayEverywhere();
 
-        /** How many workers of this part's owner have come to others lately. */
+        /** How many workers of this part's owner have lately come to the one of the others that most have come to. */
         int cameBack(int part);
 
         /** steady ms up to which another node may have heard this one say so. */
--- a/src/main/java/org/shoreusher/core/Planner.java
+++ b/src/main/java/org/shoreusher/core/Planner.java
@@ -161,6 +161,9 @@
      */
     List<Machine> keep(JobSpec spec, int wanted) {
         List<Machine> kept = new ArrayList<>();
+        if (wanted <= 0) {
+            return kept;
+        }
         slots.sort(ORDER_BY_ROOM);
         for (int i = slots.size() - 1; i >= 0 && kept.size() < wanted; i--) {
             Slot slot = slots.get(i);
