--- a/src/main/java/org/shoreusher/core/Fleet.java
+++ b/src/main/java/org/shoreusher/core/Fleet.java
@@ -1,20 +1,13 @@
 package org.shoreusher.core;
 
-import it.unimi.dsi.fastutil.objects.Object2LongOpenHashMap;
-import it.unimi.dsi.fastutil.objects.ObjectLinkedOpenHashSet;
 import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Set;
-import org.shoreusher.core.Command.CloudReply;
-import org.shoreusher.core.Command.ListPage;
-import org.shoreusher.core.Command.Listed;
 import org.shoreusher.core.Effect.CloudOp;
 import org.shoreusher.settings.Settings;
 import org.shoreusher.settings.Tuning;
-import org.shoreusher.wire.CloudFormat;
-import org.shoreusher.wire.Tree;
 
 /** Rents, returns and keeps track of the machines of one part. */
 final class Fleet {
@@ -23,18 +16,11 @@
     private final Outbox out;
     private final Types types;
     private final Rentals rentals;
-    /** Machines that lists show and no record does, with the moment they were first seen. */
-    private final Object2LongOpenHashMap<String> strays = new Object2LongOpenHashMap<>();
-    /** Machines in the newest list. */
-    private Set<String> listed = Set.of();
-    /** Machines that have been there and are gone; names are never used again. */
-    private final ObjectLinkedOpenHashSet<String> gone = new ObjectLinkedOpenHashSet<>();
+    private final MachineList list;
     /** Machines the last plan had nothing for, and how many more it could have filled. */
     private final Set<Machine> spare = new HashSet<>();
     private int lacks;
     private long nextPlanMs;
-    private long nextListMs;
-    private boolean listing;
     private boolean returning;
     private long nextReturnMs;
 
@@ -44,6 +30,7 @@
         this.out = out;
         this.types = types;
         rentals = new Rentals(part, settings, out, this);
+        list = new MachineList(part, settings, out, types);
     }
 
     void step() {
@@ -62,24 +49,16 @@
             }
         }
         giveBack();
-        list();
+        list.step();
     }
 
-    /** A machine of the part is gone. */
-    void forget(String id) {
-        gone.add(id);
-        if (gone.size() > Tuning.GONE_NAMES) {
-            gone.removeFirst();
-        }
-    }
-
-    boolean isGone(String id) {
-        return gone.contains(id);
+    MachineList list() {
+        return list;
     }
 
     /** The cloud has rented this machine to the part. */
     void rented(String id, CloudOp.Rent rent, long askedWallMs) {
-        if (!part.lost() && !part.machines().containsKey(id) && !gone.contains(id)) {
+        if (!part.lost() && !part.machines().containsKey(id) && !list.isGone(id)) {
             part.add(id, types.get(rent.type()), rent.zone(), rent.spot(), askedWallMs);
         }
     }
@@ -89,10 +68,6 @@
         nextPlanMs = out.now.steadyMs();
     }
 
-    boolean isListed(String id) {
-        return listed.contains(id);
-    }
-
     // ---- renting -----------------------------------------------------------------------------
 
     private void plan() {
@@ -137,7 +112,7 @@
         }
         lacks = lacking(jobs);
         // Idle machines of other parts come by handover, which is quicker and cheaper than renting.
-        wanting.subList(Math.max(0, wanting.size() - part.idleElsewhere()), wanting.size()).clear();
+        wanting.subList(Math.max(0, wanting.size() - part.neighbours().idleElsewhere()), wanting.size()).clear();
         rentals.ask(wanting);
     }
 
@@ -179,8 +154,8 @@
 
     /** Hands spare machines to the part that lacks most. */
     private void handOver() {
-        int to = part.neediest();
-        int most = to < 0 ? 0 : part.lacksOf(to);
+        int to = part.neighbours().neediest();
+        int most = to < 0 ? 0 : part.neighbours().lacksOf(to);
         runEmpty(most);
         for (Machine m : new ArrayList<>(part.machines().values())) {
             if (most > 0 && (spare.contains(m) || (m.yielding && m.tasks.isEmpty())) && m.state == Machine.State.UP && m.recordedUsed && out.now.steadyMs() - m.idleSinceMs > Tuning.HANDOVER_IDLE_MS) {
@@ -344,73 +319,4 @@
             m.unneeded = false;
         }
     }
-
-    // ---- the machine list --------------------------------------------------------------------
-
-    private void list() {
-        if (listing || out.now.steadyMs() < nextListMs) {
-            return;
-        }
-        readList(null, out.now, new ArrayList<>());
-    }
-
-    private void readList(String after, Reading askedAt, List<Listed> soFar) {
-        listing = out.cloud(new CloudOp.Listing(after), reply -> {
-            listing = false;
-            // A rebuild waits for machines that are gone, until a list no longer shows them.
-            nextListMs = out.now.steadyMs() + (part.rebuilt() ? Tuning.LIST_EVERY_MS : Tuning.LIST_IN_REBUILD_MS);
-            if (reply.status() != 200 || part.lost()) {
-                return;
-            }
-            try {
-                ListPage page = CloudFormat.machines(new Tree(reply.body()));
-                soFar.addAll(page.machines());
-                if (page.more() && !page.machines().isEmpty()) {
-                    readList(page.machines().get(page.machines().size() - 1).id(), askedAt, soFar);
-                } else {
-                    listed(soFar, askedAt);
-                }
-            } catch (Tree.Missing e) {
-                out.log("cloud: machine list not understood: " + e.getMessage());
-            }
-        });
-    }
-
-    private void listed(List<Listed> all, Reading askedAt) {
-        Set<String> names = new HashSet<>();
-        for (Listed l : all) {
-            names.add(l.id());
-            Machine m = part.machines().get(l.id());
-            if (m != null && l.state().equals("failed")) {
-                part.stopped(m);
-            }
-            if (m == null && part.strayHere(l.id())) {
-                stray(l);
-            } else {
-                // Else a machine returned later, which a lagging list still shows, would count as seen before.
-                strays.removeLong(l.id());
-            }
-        }
-        strays.keySet().retainAll(names);
-        listed = names;
-        // Lists are at most twice their lag old, and a machine once listed stays so until it is gone.
-        long shown = (long) (2 * settings.listLagS() * 1000) + Tuning.LIST_SLACK_MS;
-        for (Machine m : new ArrayList<>(part.machines().values())) {
-            if (!names.contains(m.id) && askedAt.wallMs() - m.rentedWallMs > shown) {
-                part.gone(m, "no longer in the cloud's list");
-            }
-        }
-    }
-
-    /** A machine of which no record tells: taken on once it is sure that no answer to a rental is still on its way. */
-    private void stray(Listed l) {
-        if (!strays.containsKey(l.id())) {
-            strays.put(l.id(), out.now.steadyMs());
-        } else if (out.now.steadyMs() - strays.getLong(l.id()) > (gone.contains(l.id()) ? Tuning.GONE_STILL_LISTED_MS : 2 * Tuning.LIST_EVERY_MS)) {
-            strays.removeLong(l.id());
-            gone.remove(l.id());
-            out.log("adopted: " + l.id() + " in part " + part.n);
-            part.add(l.id(), types.get(l.type()), l.zone(), l.spot(), out.now.wallMs() - (long) (l.ageS() * 1000));
-        }
-    }
 }
--- /dev/null
+++ b/src/main/java/org/shoreusher/core/MachineList.java
@@ -0,0 +1,124 @@
+package org.shoreusher.core;
+
+import it.unimi.dsi.fastutil.objects.Object2LongOpenHashMap;
+import it.unimi.dsi.fastutil.objects.ObjectLinkedOpenHashSet;
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Set;
+import org.shoreusher.core.Command.ListPage;
+import org.shoreusher.core.Command.Listed;
+import org.shoreusher.core.Effect.CloudOp;
+import org.shoreusher.settings.Settings;
+import org.shoreusher.settings.Tuning;
+import org.shoreusher.wire.CloudFormat;
+import org.shoreusher.wire.Tree;
+
+/**
+ * Reads the cloud's machine list, which lags: from it a part learns which of its machines are gone, and which machines
+ * nobody knows of.
+ */
+final class MachineList {
+    private final Part part;
+    private final Settings settings;
+    private final Outbox out;
+    private final Types types;
+    /** Machines that lists show and no record does, with the moment they were first seen. */
+    private final Object2LongOpenHashMap<String> strays = new Object2LongOpenHashMap<>();
+    /** Machines in the newest list. */
+    private Set<String> listed = Set.of();
+    /** Machines that have been there and are gone; names are never used again. */
+    private final ObjectLinkedOpenHashSet<String> gone = new ObjectLinkedOpenHashSet<>();
+    private long nextListMs;
+    private boolean listing;
+
+    MachineList(Part part, Settings settings, Outbox out, Types types) {
+        this.part = part;
+        this.settings = settings;
+        this.out = out;
+        this.types = types;
+    }
+
+    /** A machine of the part is gone. */
+    void forget(String id) {
+        gone.add(id);
+        if (gone.size() > Tuning.GONE_NAMES) {
+            gone.removeFirst();
+        }
+    }
+
+    boolean isGone(String id) {
+        return gone.contains(id);
+    }
+
+    boolean isListed(String id) {
+        return listed.contains(id);
+    }
+
+    void step() {
+        if (listing || out.now.steadyMs() < nextListMs) {
+            return;
+        }
+        readList(null, out.now, new ArrayList<>());
+    }
+
+    private void readList(String after, Reading askedAt, List<Listed> soFar) {
+        listing = out.cloud(new CloudOp.Listing(after), reply -> {
+            listing = false;
+            // A rebuild waits for machines that are gone, until a list no longer shows them.
+            nextListMs = out.now.steadyMs() + (part.rebuilt() ? Tuning.LIST_EVERY_MS : Tuning.LIST_IN_REBUILD_MS);
+            if (reply.status() != 200 || part.lost()) {
+                return;
+            }
+            try {
+                ListPage page = CloudFormat.machines(new Tree(reply.body()));
+                soFar.addAll(page.machines());
+                if (page.more() && !page.machines().isEmpty()) {
+                    readList(page.machines().get(page.machines().size() - 1).id(), askedAt, soFar);
+                } else {
+                    listed(soFar, askedAt);
+                }
+            } catch (Tree.Missing e) {
+                out.log("cloud: machine list not understood: " + e.getMessage());
+            }
+        });
+    }
+
+    private void listed(List<Listed> all, Reading askedAt) {
+        Set<String> names = new HashSet<>();
+        for (Listed l : all) {
+            names.add(l.id());
+            Machine m = part.machines().get(l.id());
+            if (m != null && l.state().equals("failed")) {
+                part.stopped(m);
+            }
+            if (m == null && part.strayHere(l.id())) {
+                stray(l);
+            } else {
+                // Else a machine returned later, which a lagging list still shows, would count as seen before.
+                strays.removeLong(l.id());
+            }
+        }
+        strays.keySet().retainAll(names);
+        listed = names;
+        // Lists are at most twice their lag old, and a machine once listed stays so until it is gone.
+        long shown = (long) (2 * settings.listLagS() * 1000) + Tuning.LIST_SLACK_MS;
+        for (Machine m : new ArrayList<>(part.machines().values())) {
+            if (!names.contains(m.id) && askedAt.wallMs() - m.rentedWallMs > shown) {
+                part.gone(m, "no longer in the cloud's list");
+            }
+        }
+    }
+
+    /** A machine of which no record tells: taken on once it is sure that no answer to a rental is still on its way. */
+    private void stray(Listed l) {
+        if (!strays.containsKey(l.id())) {
+            strays.put(l.id(), out.now.steadyMs());
+        } else if (out.now.steadyMs() - strays.getLong(l.id()) > (gone.contains(l.id()) ? Tuning.GONE_STILL_LISTED_MS : 2 * Tuning.LIST_EVERY_MS)) {
+            strays.removeLong(l.id());
+            gone.remove(l.id());
+            out.log("adopted: " + l.id() + " in part " + part.n);
+            part.add(l.id(), types.get(l.type()), l.zone(), l.spot(), out.now.wallMs() - (long) (l.ageS() * 1000));
+        }
+    }
+}
--- a/src/main/java/org/shoreusher/core/Part.java
+++ b/src/main/java/org/shoreusher/core/Part.java
@@ -5,11 +5,9 @@
 import it.unimi.dsi.fastutil.objects.Object2ObjectOpenHashMap;
 import java.util.ArrayList;
 import java.util.BitSet;
-import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import org.shoreusher.core.Effect.StateOp;
-import org.shoreusher.core.Hint.Claim;
 import org.shoreusher.core.Hint.PartHint;
 import org.shoreusher.core.Keys.JobRecord;
 import org.shoreusher.core.Keys.JobStatus;
@@ -58,6 +56,7 @@
     private final TaskBook book = new TaskBook();
     private final MachineIndex index;
     private final MachineRecords records;
+    private final Neighbours neighbours;
     private final StartMarks marks;
     private final Reports reports;
     /** Jobs whose last task has finished and whose final state is not yet written. */
@@ -85,6 +84,7 @@
         this.records = new MachineRecords(n, settings, out, mirror, index, holding, machines);
         this.urgency = new Urgency(settings, estimates);
         this.fleet = new Fleet(this, settings, out, types);
+        this.neighbours = new Neighbours(n, parts, others, jobs, machines);
         this.marks = new StartMarks(settings, out, mirror, holding);
         this.reports = new Reports(this, settings, out, mirror, index, types, book, marks);
     }
@@ -99,6 +99,15 @@
         return reports;
     }
 
+    Neighbours neighbours() {
+        return neighbours;
+    }
+
+    /** What the other parts are told of this one. */
+    PartHint hint() {
+        return neighbours.hint(fleet);
+    }
+
     Fleet fleet() {
         return fleet;
     }
@@ -186,13 +195,8 @@
     /** CPUs left if the whole limit of the team could be had: what renting goes by. */
     double cpusRentable(String team) {
         Settings.Team t = settings.teams().get(team);
-        double others = t == null ? 0 : t.cpusMax();
-        for (int m = 0; m < parts; m++) {
-            PartHint hint = m == n ? null : this.others.hint(m);
-            Claim claim = hint == null ? null : hint.claims().get(team);
-            others -= claim == null ? 0 : claim.urgent() + claim.other();
-        }
-        return Math.max(others, quota.cpus(team)) - book.cpus(team) - unknownCpus(team);
+        double most = t == null ? 0 : t.cpusMax() - neighbours.claimed(team);
+        return Math.max(most, quota.cpus(team)) - book.cpus(team) - unknownCpus(team);
     }
 
     /** Whether a machine reports and may be given work. */
@@ -247,7 +251,7 @@
         if (!rebuilt) {
             rebuild();
         }
-        quota.step(team -> book.cpus(team) + unknownCpus(team), this::claims, this::quantum);
+        quota.step(team -> book.cpus(team) + unknownCpus(team), neighbours::claims, neighbours::quantum);
         fleet.step();
         preempt();
         if (out.now.steadyMs() >= nextStatusMs) {
@@ -256,40 +260,6 @@
         }
     }
 
-    private Claim[] claims(String team) {
-        Claim[] claims = new Claim[parts];
-        for (int m = 0; m < parts; m++) {
-            PartHint hint = m == n ? null : others.hint(m);
-            claims[m] = m == n ? claim(team) : hint == null ? null : hint.claims().getOrDefault(team, new Claim(0, 0));
-        }
-        return claims;
-    }
-
-    private Claim claim(String team) {
-        double urgent = 0;
-        double other = 0;
-        for (Job job : jobs.values()) {
-            if (job.spec.team().equals(team)) {
-                double cpus = (job.waitingCount + job.live.size()) * job.spec.cpus();
-                if (job.spec.priority().compareTo(JobSpec.Priority.HIGH) <= 0) {
-                    urgent += cpus;
-                } else {
-                    other += cpus;
-                }
-            }
-        }
-        return new Claim(urgent, other);
-    }
-
-    /** The largest step in which tasks of a team use CPUs, so that shares are not cut into useless bits. */
-    private double quantum(String team) {
-        double most = 0;
-        for (Job job : jobs.values()) {
-            most = job.spec.team().equals(team) ? Math.max(most, job.spec.cpus()) : most;
-        }
-        return most;
-    }
-
     /** CPUs of all machines that report. */
     double cpus() {
         double all = 0;
@@ -299,47 +269,6 @@
         return all;
     }
 
-    /** What the other parts are told of this one. */
-    PartHint hint() {
-        double room = 0;
-        int idle = 0;
-        for (Machine m : machines.values()) {
-            room += m.state == Machine.State.UP || m.state == Machine.State.BOOTING ? m.cpusFree() : 0;
-            idle += fleet.spare(m) ? 1 : 0;
-        }
-        Map<String, Claim> claims = new HashMap<>();
-        for (Job job : jobs.values()) {
-            room -= job.waitingCount * job.spec.cpus();
-            claims.computeIfAbsent(job.spec.team(), this::claim);
-        }
-        return new PartHint(room, idle, fleet.lacks(), claims);
-    }
-
-    int idleElsewhere() {
-        int idle = 0;
-        for (int m = 0; m < parts; m++) {
-            PartHint hint = m == n ? null : others.hint(m);
-            idle += hint == null ? 0 : hint.idle();
-        }
-        return idle;
-    }
-
-    int lacksOf(int part) {
-        PartHint hint = others.hint(part);
-        return hint == null ? 0 : hint.lacks();
-    }
-
-    /** The other part that could fill most machines, or -1. */
-    int neediest() {
-        int best = -1;
-        for (int m = 0; m < parts; m++) {
-            if (m != n && lacksOf(m) > (best < 0 ? 0 : lacksOf(best))) {
-                best = m;
-            }
-        }
-        return best;
-    }
-
     private String status() {
         int[] states = new int[Machine.State.values().length];
         double used = 0;
@@ -608,7 +537,7 @@
         m.tasksNow().forEach(book::remove);
         machines.remove(m.id);
         records.changed(m.id);
-        fleet.forget(m.id);
+        fleet.list().forget(m.id);
     }
 
     /** The cloud says that the machine has stopped by itself, so nothing is on it. */
@@ -628,7 +557,7 @@
     void machineChanged(String id, MachineRecord record) {
         Machine m = machines.get(id);
         // A write from before a machine's end may come into the view after it.
-        if (loaded && m == null && record.part() == n && !fleet.isGone(id)) {
+        if (loaded && m == null && record.part() == n && !fleet.list().isGone(id)) {
             addMachine(id, record);
         } else if (m != null && m.tasks.isEmpty() && record.part() != n) {
             machines.remove(id);
--- a/src/main/java/org/shoreusher/core/Reports.java
+++ b/src/main/java/org/shoreusher/core/Reports.java
@@ -84,7 +84,7 @@
 
     private Machine adopt(WorkerReport r) {
         // A late copy must not bring back a machine that was returned, be its record still there or not.
-        if (part.fleet().isGone(r.machine())) {
+        if (part.fleet().list().isGone(r.machine())) {
             return null;
         }
         MachineRecord record = index.get(r.machine());
@@ -93,7 +93,7 @@
         }
         // Nor one that an owner before has returned: what has been answered before and has no record is taken on only
         // when the cloud says that it is there.
-        if (r.token() > 0 && !part.fleet().isListed(r.machine())) {
+        if (r.token() > 0 && !part.fleet().list().isListed(r.machine())) {
             return null;
         }
         return part.add(r.machine(), types.get(r.type()), r.zone(), r.spot(), out.now.wallMs());
