Reread: one comparator, one formula for silent machines, a sum taken once per plan

No change of behaviour: Planner.keep sorts by the planner's own order, what silent machines may hold of CPUs and GPUs is one formula, and a plan adds up the part's CPUs once.

--- a/src/main/java/org/shoreusher/core/Part.java
+++ b/src/main/java/org/shoreusher/core/Part.java
@@ -178,18 +178,20 @@
 
     double gpusLeft(String team) {
         Settings.Team t = settings.teams().get(team);
-        double most = t == null ? 0 : t.gpusMax() - book.foundGpus(team);
-        return quota.gpus(team) - book.gpus(team) - Math.min(unknownGpus, Math.max(0, most));
+        return quota.gpus(team) - book.gpus(team) - unknown(unknownGpus, t == null ? 0 : t.gpusMax(), book.foundGpus(team));
     }
 
-    /**
-     * CPUs of a team that machines not yet heard may hold. The owner before kept the team to its limit, so what was found
-     * on machines that have been heard and what is on the others is no more than that together.
-     */
     private double unknownCpus(String team) {
         Settings.Team t = settings.teams().get(team);
-        double most = t == null ? 0 : t.cpusMax() - book.foundCpus(team);
-        return Math.min(unknownCpus, Math.max(0, most));
+        return unknown(unknownCpus, t == null ? 0 : t.cpusMax(), book.foundCpus(team));
+    }
+
+    /**
+     * What of a team machines not yet heard may hold. The owner before kept the team to its limit, so what was found on
+     * machines that have been heard and what is on the others is no more than that together.
+     */
+    private static double unknown(double all, double limit, double found) {
+        return Math.min(all, Math.max(0, limit - found));
     }
 
     /** CPUs left if the whole limit of the team could be had: what renting goes by. */
--- a/src/main/java/org/shoreusher/core/Placement.java
+++ b/src/main/java/org/shoreusher/core/Placement.java
@@ -85,8 +85,9 @@
             return;
         }
         Planner planner = part.planner();
-        double keepable = part.cpus() * Tuning.KEPT_SHARE;
-        double ahead = part.cpus() * Tuning.MARKED_AHEAD;
+        double cpus = part.cpus();
+        double keepable = cpus * Tuning.KEPT_SHARE;
+        double ahead = cpus * Tuning.MARKED_AHEAD;
         for (Job job : jobs) {
             int allowed = Math.min(job.waitingCount, planner.allowedByTeam(job.spec));
             int left = planner.place(job, job.waitingCount);
--- a/src/main/java/org/shoreusher/core/Planner.java
+++ b/src/main/java/org/shoreusher/core/Planner.java
@@ -70,8 +70,6 @@
 
     private static final Comparator<Slot> ORDER = Comparator.comparingDouble((Slot s) -> s.rank).thenComparing(s -> s.machine == null ? "~" : s.machine.id);
 
-    private static final Comparator<Slot> ORDER_BY_ROOM = Comparator.comparingDouble((Slot s) -> s.cpus).thenComparing(s -> s.machine == null ? "~" : s.machine.id);
-
     private final ToDoubleFunction<String> cpusLeft;
     private final ToDoubleFunction<String> gpusLeft;
     private final Object2DoubleOpenHashMap<String> cpusPlanned = new Object2DoubleOpenHashMap<>();
@@ -164,7 +162,8 @@
         if (wanted <= 0) {
             return kept;
         }
-        slots.sort(ORDER_BY_ROOM);
+        slots.forEach(s -> s.rank = s.cpus);
+        slots.sort(ORDER);
         for (int i = slots.size() - 1; i >= 0 && kept.size() < wanted; i--) {
             Slot slot = slots.get(i);
             if (slot.machine != null && spec.allows(slot.type.name(), slot.zone, slot.spot) && slot.type.fits(spec) && slot.fits(spec) == 0) {
