Cancellations an owner can't see: answers end with the view's age; meetings in the model

Cause: an owner answered reports as long as its renewals succeeded or its grace lasted, whatever the age of its view; a renewal shows no cancellation, so workers could be kept alive with a cancelled task for ever while reads of the view failed. The bound now starts at the moment at which the view was surely complete. After a lapse nothing starts until the view shows all up to the renewal. Cancelled tasks are stopped in the first answer of a takeover and in the grace as well: a cancellation is final, so the stop is right whoever holds the part. A record of marks is assigned when its write has succeeded. Reports held up by a cut make no machine deaf. A job that lacks a field is refused; a done job crowded out of the cache between question and answer is read, not called unknown. The model's state service now loses answers (executed at once or late), answers slowly and stalls views; its workers can be mute, its copies kept for the next owner; its users look closely and cancel at the end of the last task.

--- a/src/main/java/org/shoreusher/core/Holding.java
+++ b/src/main/java/org/shoreusher/core/Holding.java
@@ -31,6 +31,8 @@
     private boolean lost;
     private boolean renewing;
     private boolean lapsedLogged;
+    /** The revision that the view must have reached since the last lapse; 0: it has. */
+    private long viewNeeded;
     private long nextRenewMs;
     /** The last chunk of finished tasks that was written. */
     private int lastChunk;
@@ -97,6 +99,14 @@
         return Map.of(Keys.fence(n), fenceVersion);
     }
 
+    /** Whether the view shows all that was written up to the renewal that ended the last lapse. */
+    boolean viewComplete() {
+        if (viewNeeded > 0 && mirror.revision() >= viewNeeded) {
+            viewNeeded = 0;
+        }
+        return viewNeeded == 0;
+    }
+
     /** Logs a lapse once. */
     void watchLapse() {
         if (!holds() && !lost && !lapsedLogged) {
@@ -155,7 +165,7 @@
         }
         if (reply.status() == 200) {
             recordVersion = mirror.applied(reply, writes);
-            lease.confirmed(record.expiryMs(), sentAt);
+            confirmed(record.expiryMs(), sentAt);
             nextRenewMs = sentAt.steadyMs() + PartLease.heartbeatMs(settings);
             if (lapsedLogged && holds()) {
                 lapsedLogged = false;
@@ -180,6 +190,13 @@
         }
     }
 
+    private void confirmed(long expiryMs, Reading writtenAt) {
+        if (!holds()) {
+            viewNeeded = recordVersion;
+        }
+        lease.confirmed(expiryMs, writtenAt);
+    }
+
     private void rereadRecord(StateReply reply) {
         if (lost || reply.status() != 200) {
             return;
@@ -192,7 +209,7 @@
             } else if (e.version() > recordVersion) {
                 recordVersion = e.version();
                 term = Math.max(term, record.term());
-                lease.confirmed(record.expiryMs(), out.now);
+                confirmed(record.expiryMs(), out.now);
                 nextRenewMs = out.now.steadyMs();
             }
         } catch (Tree.Missing x) {
--- a/src/main/java/org/shoreusher/core/Machine.java
+++ b/src/main/java/org/shoreusher/core/Machine.java
@@ -91,6 +91,11 @@
             return;
         }
         long since = nowMs - repliedAtMs;
+        if (r.session() > session && since < Tuning.WORKER_PATIENCE_MS - Tuning.REPORT_SLACK_MS) {
+            // Held up by a cut and let through with the one before it: a worker that did not hear an answer would have waited
+            // for it first. Good machines were retired half a second after a cut had ended.
+            return;
+        }
         if (r.session() > session && since < settings.workerLeaseS() * 1000) {
             unheard = Math.max(unheard + 1, Tuning.DEAF_AFTER);
         } else if (r.session() > session || since > Math.max(Tuning.WORKER_PATIENCE_MS, settings.reportS() * 1000 * Tuning.REPORT_SPREAD + Tuning.REPORT_SLACK_MS)) {
--- a/src/main/java/org/shoreusher/core/Part.java
+++ b/src/main/java/org/shoreusher/core/Part.java
@@ -214,20 +214,23 @@
     }
 
     /**
-     * Whether reports may be answered. The grace after a lapse is for an outage that all share. If the state service
+     * Whether reports may be answered. Not with a view so old that a cancellation it lacks would not come true in time: an
+     * owner may renew its lease again and again while nothing of what others write reaches it. The grace after a lapse is for an outage that all share. If the state service
      * answers another node, that one takes the part, and every answer given here would only keep the worker from it.
      * A taker relies on this: it need not wait for a grace that it has not agreed to.
      */
     boolean mayAnswer() {
-        return !lost() && loaded && (holds() || (holding.keepsAlive() && others.stateAwayEverywhere()));
+        return !lost() && loaded && mirror.ageMs() < PartLease.answerableViewMs(settings)
+                && (holds() || (holding.keepsAlive() && others.stateAwayEverywhere()));
     }
 
     /**
      * Whether commands that start something may be given now. During the rebuild only tasks wait that surely are on no
-     * machine, and every team is charged with all that silent machines may hold.
+     * machine, and every team is charged with all that silent machines may hold. After a lapse the view must first show
+     * all that others wrote meanwhile: a cancellation among it was confirmed while this owner could not know.
      */
     boolean mayStart() {
-        return loaded && holds() && mirror.ageMs() < Tuning.VIEW_STALE_MS;
+        return loaded && holds() && mirror.ageMs() < Tuning.VIEW_STALE_MS && holding.viewComplete();
     }
 
     // ---- time --------------------------------------------------------------------------------
--- a/src/main/java/org/shoreusher/core/PartLease.java
+++ b/src/main/java/org/shoreusher/core/PartLease.java
@@ -30,6 +30,17 @@
         return Math.max(0, Math.min(Tuning.GRACE_MAX_MS, (long) ms));
     }
 
+    /**
+     * How old an owner's view of the store may be for reports to be answered 200 at all, whatever keeps the lease alive. A
+     * cancellation that the view lacks was confirmed after the moment at which the view was surely complete, so from that
+     * moment on the sum is: age of the view, the worker's whole lease from the last answer on (a machine that hangs goes on
+     * within it at most, and a task that saves ends with it), drift of both clocks over that time, and a margin for the
+     * confirmation's way to the user. A renewal shows no cancellation, so it is not what counts.
+     */
+    static long answerableViewMs(Settings s) {
+        return (long) (s.cancelS() * 1000 * (1 - Tuning.DRIFT)) - workerLeaseMs(s) - Tuning.CANCEL_MARGIN_MS;
+    }
+
     /**
      * ms that a part's lease lasts without renewal. The design's time, but so much below the workers' leases that a taker
      * can answer them before they end: where workers have 10 s, a lease of 9 s let every crash of an owner kill its tasks.
--- a/src/main/java/org/shoreusher/core/Reports.java
+++ b/src/main/java/org/shoreusher/core/Reports.java
@@ -58,7 +58,7 @@
         // after it. Only one made by a worker that has seen this owner's term is surely newer than all that.
         if (m != null && m.inherited && !m.heard && r.token() < part.holding().takenTerm()) {
             m.answeredAtMs = Math.max(m.answeredAtMs, out.now.steadyMs());
-            out.answer(request, 200, WorkerFormat.answer(part.term(), List.of()));
+            out.answer(request, 200, WorkerFormat.answer(part.term(), stopsOfCancelled(r)));
             return;
         }
         // A late report's sender has given up on it, and of a copy nobody waits for the answer; the task list is as old
@@ -76,6 +76,8 @@
             if (m.recordedUsed && (m.cpusFree() > Tuning.EPSILON || m.gpusFree() > Tuning.EPSILON) && part.mayStart() && part.available(m)) {
                 start(m, orders);
             }
+        } else {
+            orders.addAll(stopsOfCancelled(r));
         }
         m.repliedAtMs = out.now.steadyMs();
         m.answeredAtMs = out.now.steadyMs();
@@ -238,6 +240,23 @@
         }
     }
 
+    /**
+     * Stops for tasks whose job is cancelled. A cancellation is final in the store, so they are right whoever holds the part
+     * and however old the report is: each of ten owners in two minutes may give a worker just one answer.
+     */
+    private List<WorkerOrder> stopsOfCancelled(WorkerReport r) {
+        List<WorkerOrder> orders = new ArrayList<>();
+        for (TaskReport t : r.tasks()) {
+            if (t.state() != TaskState.EXITED && part.jobs().get(t.job()) == null) {
+                JobRecord record = arrivals.record(t.job());
+                if (record != null && record.status() == JobStatus.CANCELLED) {
+                    orders.add(new WorkerOrder(WorkerOrder.Kind.STOP, t.job(), t.index(), t.attempt(), 0));
+                }
+            }
+        }
+        return orders;
+    }
+
     /** A finish may be forgotten when it, or its job's final state, is in the store. */
     private boolean forgettable(TaskReport t) {
         if (t.cause() != Cause.DONE) {
--- a/src/main/java/org/shoreusher/core/StartMarks.java
+++ b/src/main/java/org/shoreusher/core/StartMarks.java
@@ -23,6 +23,10 @@
  * must stand as well, since two nodes may have accepted the job for different ones.
  */
 final class StartMarks {
+    /** A mark on its way to the store: the record it is in, and the number below which tasks may then be started. */
+    private record Marked(Job job, int chunk, int below) {
+    }
+
     private final int n;
     private final int parts;
     private final Settings settings;
@@ -77,7 +81,7 @@
         Map<String, Long> guards = new LinkedHashMap<>(holding.fence());
         Map<String, Map<String, Object>> writes = new LinkedHashMap<>();
         Map<Integer, Map<String, Integer>> chunks = new LinkedHashMap<>();
-        List<Map.Entry<Job, Integer>> marked = new ArrayList<>();
+        List<Marked> marked = new ArrayList<>();
         ObjectIterator<Object2IntMap.Entry<Job>> it = wanted.object2IntEntrySet().iterator();
         while (it.hasNext() && writes.size() + chunks.size() + 2 <= settings.txnOps()) {
             Object2IntMap.Entry<Job> e = it.next();
@@ -93,11 +97,9 @@
                 writes.put(Keys.job(job.id), record.write());
             }
             int below = Math.min(job.spec.tasks(), Math.max(next, job.startBelow * Tuning.MARK_GROWTH));
-            if (job.markChunk < 0) {
-                job.markChunk = chunkWithRoom(chunks, job.id);
-            }
-            chunks.computeIfAbsent(job.markChunk, this::open).put(job.id, below);
-            marked.add(Map.entry(job, below));
+            int chunk = job.markChunk >= 0 ? job.markChunk : chunkWithRoom(chunks, job.id);
+            chunks.computeIfAbsent(chunk, this::open).put(job.id, below);
+            marked.add(new Marked(job, chunk, below));
         }
         if (marked.isEmpty()) {
             return;
@@ -110,7 +112,12 @@
             writing = false;
             if (reply.status() == 200 && !holding.lost()) {
                 mirror.applied(reply, writes);
-                marked.forEach(m -> m.getKey().startBelow = Math.max(m.getKey().startBelow, m.getValue()));
+                marked.forEach(m -> {
+                    // Only now: the room of a record is counted by what stands in it, so one assigned by a write that failed could
+                    // take the record above the value limit, where every write of it is refused for good.
+                    m.job.markChunk = m.chunk;
+                    m.job.startBelow = Math.max(m.job.startBelow, m.below);
+                });
             }
         });
         nextMs = writing ? out.now.steadyMs() + gapMs : nextMs;
@@ -130,7 +137,7 @@
 
     private int chunkWithRoom(Map<Integer, Map<String, Integer>> chunks, String id) {
         int c = 0;
-        while (length(chunks.getOrDefault(c, open(c))) + length(id) > settings.valueBytes() * Tuning.RECORD_FILL) {
+        while (length(chunks.containsKey(c) ? chunks.get(c) : open(c)) + length(id) > settings.valueBytes() * Tuning.RECORD_FILL) {
             c++;
         }
         return c;
--- a/src/main/java/org/shoreusher/core/UserDesk.java
+++ b/src/main/java/org/shoreusher/core/UserDesk.java
@@ -242,7 +242,7 @@
         questions.subList(0, batch.size()).clear();
         boolean sent = out.stateForUser(new StateOp.Multi(guards, Map.of()), reply -> {
             readsInFlight--;
-            confirmed(reply, batch);
+            confirmed(reply, batch, guards);
         });
         if (sent) {
             readsInFlight++;
@@ -251,7 +251,7 @@
         }
     }
 
-    private void confirmed(StateReply reply, List<Question> batch) {
+    private void confirmed(StateReply reply, List<Question> batch, Map<String, Long> guards) {
         Set<String> changed = new HashSet<>();
         if (reply.status() == 409) {
             try {
@@ -264,7 +264,9 @@
             return;
         }
         for (Question q : batch) {
-            if (changed.contains(Keys.job(q.id()))) {
+            boolean forgotten = guards.get(Keys.job(q.id())) > 0 && seen(q.id()) == null;
+            if (changed.contains(Keys.job(q.id())) || forgotten) {
+                // Done meanwhile, and its final state already crowded out of the cache: it has a record all the same.
                 read(q);
             } else {
                 unlessUnseen(q, reply);
--- a/src/main/java/org/shoreusher/settings/Tuning.java
+++ b/src/main/java/org/shoreusher/settings/Tuning.java
@@ -25,6 +25,8 @@
     public static final double DRIFT = 0.001;
     /** ms; an owner whose view of the store is older than this acts as if its lease had lapsed. */
     public static final long VIEW_STALE_MS = 9_000;
+    /** ms; what the sum of a stale view and a worker's lease stays below the time for cancellations: a batch of commands, an answer's way, a tick. */
+    public static final long CANCEL_MARGIN_MS = 1_500;
     /** ms; wait between two attempts to take a part, and per part already held. */
     public static final long TAKE_PAUSE_MS = 700;
     /** ms; wait after a takeover that another one came before; the view needs about this long to show it. */
--- a/src/main/java/org/shoreusher/wire/UserFormat.java
+++ b/src/main/java/org/shoreusher/wire/UserFormat.java
@@ -39,21 +39,17 @@
         List<String> types = t.has("presses") ? t.texts("presses") : null;
         double deadline = t.has("due_s") ? amount(t, "due_s") : Double.NaN;
         return new JobSpec(id, t.text("queue"), t.text("crew"), priority(t.text("urgency")), (int) tasks, cpus, gpus, mem,
-                t.text("plate"), amount(t, "size_gb"), types, t.textOr("yard", null), t.flagOr("one_zone", false),
-                t.flagOr("scatter", false), t.flagOr("loaners", false), amount(t, "runtime_s"),
-                amountOr(t, "proof_interval_s"), amountOr(t, "proof_s"), deadline);
+                t.text("plate"), amount(t, "size_gb"), types, t.textOr("yard", null), t.flag("one_zone"),
+                t.flag("scatter"), t.flag("loaners"), amount(t, "runtime_s"),
+                amount(t, "proof_interval_s"), amount(t, "proof_s"), deadline);
     }
 
     private static double amount(Tree t, String field) throws Tree.Missing {
         double v = t.number(field);
-        need(v >= 0, field + " must not be negative");
+        need(v >= 0 && v < Double.POSITIVE_INFINITY, field + " must be a number that is not negative");
         return v;
     }
 
-    private static double amountOr(Tree t, String field) throws Tree.Missing {
-        return t.has(field) ? amount(t, field) : 0;
-    }
-
     private static void need(boolean ok, String message) throws Tree.Missing {
         if (!ok) {
             throw new Tree.Missing(message);
--- a/src/test/java/org/shoreusher/model/CloudModel.java
+++ b/src/test/java/org/shoreusher/model/CloudModel.java
@@ -25,6 +25,8 @@
     private final Map<String, Map<String, Object>> hires = new HashMap<>();
     private long outageUntil;
     private int named;
+    /** Whether machines are up within two seconds. */
+    boolean quickBoots;
 
     CloudModel(World world, int capacity) {
         this.world = world;
@@ -32,6 +34,10 @@
         snapshot();
     }
 
+    static double cpus(String type) {
+        return type.equals(LARGE) ? LARGE_CPUS : CPUS;
+    }
+
     void outage(long forMs) {
         outageUntil = world.now + forMs;
     }
@@ -116,7 +122,7 @@
             machines.put(id, w);
             names.add(id);
             if (world.random.nextInt(12) > 0) {
-                world.in(500 + world.random.nextInt(8_000), w::boot);
+                world.in(quickBoots ? 100 + world.random.nextInt(1_800) : 500 + world.random.nextInt(8_000), w::boot);
             }
         }
         Map<String, Object> answer = Map.of("boxes", names);
--- a/src/test/java/org/shoreusher/model/ClusterModelTest.java
+++ b/src/test/java/org/shoreusher/model/ClusterModelTest.java
@@ -296,7 +296,7 @@
     }
 
     /** For each part, the process that took it last. */
-    private static List<World.Process> owners(World w) {
+    static List<World.Process> owners(World w) {
         Map<String, String> last = new HashMap<>();
         w.log.stream().map(l -> l.split(" ")).filter(l -> l[2].equals("takeover:")).forEach(l -> last.put(l[4], l[1]));
         return w.processes.stream().filter(p -> last.containsValue(p.host)).toList();
--- a/src/test/java/org/shoreusher/model/Rules.java
+++ b/src/test/java/org/shoreusher/model/Rules.java
@@ -12,6 +12,7 @@
 /** Checks the protocol's rules on what really happens in the world. */
 final class Rules {
     private static final long FORGOTTEN_MS = 75_000;
+    private static final long WAITING_MS = 90_000;
 
     private final World world;
     private final Map<String, WorkerModel> on = new HashMap<>();
@@ -20,6 +21,9 @@
     /** When the first task of a job was on a machine. */
     final Map<String, Long> began = new HashMap<>();
     int starts;
+    /** Tasks that began after their user had been told that the job is cancelled. */
+    int startsAfterCancel;
+    private final Map<String, Long> waitsSince = new HashMap<>();
 
     Rules(World world) {
         this.world = world;
@@ -44,19 +48,22 @@
             broken("ran_twice", task + " on " + machine.id + " while on " + other.id);
         }
         JobSpec spec = w.spec;
+        startsAfterCancel += w.cancelTold ? 1 : 0;
         double used = 0;
+        double usedGpus = 0;
         int inZone = 0;
         int ofJob = 0;
         for (Map.Entry<String, WorkerModel> e : on.entrySet()) {
             UserModel.Wish o = world.users.wishes.get(e.getKey().substring(0, e.getKey().indexOf('/')));
             used += o.spec.team().equals(spec.team()) ? o.spec.cpus() : 0;
+            usedGpus += o.spec.team().equals(spec.team()) ? o.spec.gpus() : 0;
             if (o == w) {
                 ofJob++;
                 inZone += e.getValue().zone.equals(machine.zone) ? 1 : 0;
             }
         }
-        if (used > world.settings.teams().get(spec.team()).cpusMax()) {
-            broken("quota", spec.team() + " uses " + used);
+        if (used > world.settings.teams().get(spec.team()).cpusMax() || usedGpus > world.settings.teams().get(spec.team()).gpusMax()) {
+            broken("quota", spec.team() + " uses " + used + " CPUs, " + usedGpus + " GPUs");
         }
         if (!spec.allows(machine.type, machine.zone, machine.spot) || (spec.oneZone() && inZone != ofJob)
                 || (spec.spread() && inZone > (spec.tasks() + 1) / 2)) {
@@ -79,7 +86,63 @@
     }
 
     void completed(String task) {
-        completed.add(task);
+        String job = task.substring(0, task.indexOf('/'));
+        UserModel.Wish w = world.users.wishes.get(job);
+        if (completed.add(task) && w != null && finished(w)) {
+            world.users.ended(job);
+        }
+    }
+
+    private boolean finished(UserModel.Wish w) {
+        for (int i = 0; i < w.spec.tasks(); i++) {
+            if (!completed.contains(w.spec.id() + "/" + i)) {
+                return false;
+            }
+        }
+        return true;
+    }
+
+    /** Once all troubles are over: no job waits for 90 s while a machine that fits has room and its team is under its limit. */
+    void watchWaiting() {
+        for (UserModel.Wish w : world.users.wishes.values()) {
+            if (w.accepted && !w.doneTold && !w.cancelAsked && canGoOn(w)) {
+                long since = waitsSince.computeIfAbsent(w.spec.id(), id -> world.now);
+                if (world.now - since > WAITING_MS) {
+                    broken("waiting", w.spec.id() + " waits since " + since + " beside a machine with room");
+                    waitsSince.put(w.spec.id(), world.now);
+                }
+            } else {
+                waitsSince.remove(w.spec.id());
+            }
+        }
+        world.in(5_000, this::watchWaiting);
+    }
+
+    private boolean canGoOn(UserModel.Wish w) {
+        JobSpec spec = w.spec;
+        boolean waits = false;
+        for (int i = 0; i < spec.tasks(); i++) {
+            if (on.containsKey(spec.id() + "/" + i)) {
+                return false;
+            }
+            waits |= !completed.contains(spec.id() + "/" + i);
+        }
+        Map<WorkerModel, Double> used = new HashMap<>();
+        double team = 0;
+        for (Map.Entry<String, WorkerModel> e : on.entrySet()) {
+            JobSpec o = world.users.wishes.get(e.getKey().substring(0, e.getKey().indexOf('/'))).spec;
+            used.merge(e.getValue(), o.cpus(), Double::sum);
+            team += o.team().equals(spec.team()) ? o.cpus() : 0;
+        }
+        if (!waits || team + spec.cpus() > world.settings.teams().get(spec.team()).cpusMax()) {
+            return false;
+        }
+        for (WorkerModel m : world.cloud.machines()) {
+            if (m.well() && spec.allows(m.type, m.zone, m.spot) && used.getOrDefault(m, 0.0) + spec.cpus() <= CloudModel.cpus(m.type)) {
+                return true;
+            }
+        }
+        return false;
     }
 
     /** Once all troubles are over, no job goes without an answer for 75 s, however others fare. */
@@ -122,6 +185,24 @@
         }
     }
 
+    /** At the end: less than half of a team's jobs, or of its largest ones, served. */
+    void servedByHalf() {
+        Map<String, List<UserModel.Wish>> teams = new HashMap<>();
+        world.users.wishes.values().stream().filter(w -> w.accepted && !w.cancelAsked).forEach(w -> teams.computeIfAbsent(w.spec.team(), t -> new ArrayList<>()).add(w));
+        teams.forEach((team, jobs) -> {
+            int largest = jobs.stream().mapToInt(w -> w.spec.tasks()).max().orElse(0);
+            half(team, jobs);
+            half("the largest of " + team, jobs.stream().filter(w -> w.spec.tasks() == largest).toList());
+        });
+    }
+
+    private void half(String of, List<UserModel.Wish> jobs) {
+        long done = jobs.stream().filter(w -> w.doneTold).count();
+        if (2 * done < jobs.size()) {
+            broken("served", done + " of " + jobs.size() + " jobs of " + of);
+        }
+    }
+
     /** At the end: what is still on a machine though cancelled, and who waits for an answer. */
     void end() {
         world.users.wishes.values().forEach(this::checkAnswered);
--- a/src/test/java/org/shoreusher/model/StateModel.java
+++ b/src/test/java/org/shoreusher/model/StateModel.java
@@ -31,7 +31,15 @@
     private final Map<String, Long> refusedUntil = new HashMap<>();
     private long revision;
     private long forgotten;
+    private final Map<String, Long> viewsStalledUntil = new HashMap<>();
     private long outageUntil;
+    private long answersLostUntil;
+    private int answersLostOfTen;
+    private boolean lostAtOnce;
+    private long slowUntil;
+    private int slowMs;
+    /** Transactions that got no answer: executed at once, or late. */
+    int answersLost;
     private final TokenBucket requests;
     private final TokenBucket writes;
     /** Requests refused for the limits on rates. */
@@ -54,6 +62,24 @@
         refusedUntil.put(host, world.now + forMs);
     }
 
+    /** So many transactions of ten get no answer for a while: carried out at once, or 2 to 12 s later, after newer ones. */
+    void loseAnswers(int ofTen, boolean atOnce, long forMs) {
+        answersLostOfTen = ofTen;
+        lostAtOnce = atOnce;
+        answersLostUntil = world.now + forMs;
+    }
+
+    /** Answers come later for a while, each by up to so many ms. */
+    void slow(int byMs, long forMs) {
+        slowMs = byMs;
+        slowUntil = world.now + forMs;
+    }
+
+    /** A node's watches and pages get no answer for a while, though everything else does. */
+    void stallViews(String host, long forMs) {
+        viewsStalledUntil.put(host, world.now + forMs);
+    }
+
     private boolean away(String host) {
         return world.now < outageUntil || world.now < refusedUntil.getOrDefault(host, 0L);
     }
@@ -64,8 +90,22 @@
     }
 
     void handle(String host, StateOp op, World.Reply reply) {
+        if (world.now < slowUntil) {
+            World.Reply quick = reply;
+            reply = (status, body) -> world.in(world.random.nextInt(slowMs), () -> quick.answer(status, body));
+        }
+        answer(host, op, reply);
+    }
+
+    private void answer(String host, StateOp op, World.Reply reply) {
         if (away(host)) {
             reply.answer(503, null);
+        } else if ((op instanceof StateOp.Watch || op instanceof StateOp.Page) && world.now < viewsStalledUntil.getOrDefault(host, 0L)) {
+            return;
+        } else if (op instanceof StateOp.Multi m && !m.writes().isEmpty() && world.now < answersLostUntil && world.random.nextInt(10) < answersLostOfTen) {
+            answersLost++;
+            // Whatever the limits on rates: carried out is what may do harm.
+            world.in(lostAtOnce ? 0 : 2_000 + world.random.nextInt(10_000), () -> multi(m, (status, body) -> { }));
         } else if (!requests.take(1, world.now) || (op instanceof StateOp.Multi m && !writes.take(m.writes().size(), world.now))) {
             refused++;
             reply.answer(429, null);
--- a/src/test/java/org/shoreusher/model/UserModel.java
+++ b/src/test/java/org/shoreusher/model/UserModel.java
@@ -33,6 +33,13 @@
     private final World world;
     /** How many users of ten send each submission to two nodes at the same time, as a retry does whose first try is on its way. */
     int impatient;
+    /** Whether users ask at all nodes at once, and submit again, right after a job was accepted, ended or confirmed as cancelled; some cancel at once. */
+    boolean closeLooks;
+    /** How many of ten jobs that end are called off at the moment of the end of their last task. */
+    int cancelAtEnd;
+    /** Submissions that can't run or lack a field, and how many of them were refused for good. */
+    int badAsked;
+    int badRefused;
     final Map<String, Wish> wishes = new LinkedHashMap<>();
 
     UserModel(World world) {
@@ -66,8 +73,11 @@
     }
 
     private void ask(LongFunction<Command> command, BiConsumer<Effect.Answer, Long> then, Runnable again) {
+        ask(world.processes.get(world.random.nextInt(world.processes.size())), command, then, again);
+    }
+
+    private void ask(World.Process node, LongFunction<Command> command, BiConsumer<Effect.Answer, Long> then, Runnable again) {
         long askedAt = world.now;
-        World.Process node = world.processes.get(world.random.nextInt(world.processes.size()));
         boolean[] ended = {false};
         world.in(5_000, () -> {
             if (!ended[0]) {
@@ -96,11 +106,14 @@
             if (answer.status() != 200 && answer.status() != 201) {
                 world.rules.broken("forgotten", "submission of " + w.spec.id() + " got " + answer.status());
             }
-            world.rules.told(w, answer, askedAt);
-            w.accepted = true;
+            told(w, answer, askedAt);
+            if (!w.accepted) {
+                w.accepted = true;
+                lookClosely(w);
+            }
             world.in(3_000, () -> poll(w));
             if (w.cancels) {
-                world.in(world.random.nextInt(15_000), () -> cancel(w));
+                world.in(closeLooks && world.random.nextBoolean() ? 0 : world.random.nextInt(15_000), () -> cancel(w));
             }
         }, () -> trySubmit(w));
     }
@@ -110,14 +123,77 @@
             return;
         }
         ask(n -> new Command.Poll(n, w.spec.id()), (answer, askedAt) -> {
-            world.rules.told(w, answer, askedAt);
+            told(w, answer, askedAt);
             world.in(5_000, () -> poll(w));
         }, () -> poll(w));
     }
 
-    private void cancel(Wish w) {
+    void cancel(Wish w) {
         w.cancelAsked = true;
-        ask(n -> new Command.Cancel(n, w.spec.id()), (answer, askedAt) -> world.rules.told(w, answer, askedAt), () -> cancel(w));
+        ask(n -> new Command.Cancel(n, w.spec.id()), (answer, askedAt) -> told(w, answer, askedAt), () -> cancel(w));
+    }
+
+    private void told(Wish w, Effect.Answer answer, long askedAt) {
+        boolean ended = w.doneTold || w.cancelTold;
+        world.rules.told(w, answer, askedAt);
+        if (!ended && (w.doneTold || w.cancelTold)) {
+            lookClosely(w);
+        }
+    }
+
+    /** Questions at all nodes within a few ms, and the submission once more. */
+    private void lookClosely(Wish w) {
+        if (!closeLooks) {
+            return;
+        }
+        for (World.Process node : world.processes) {
+            world.in(1 + world.random.nextInt(4), () -> {
+                ask(node, n -> new Command.Poll(n, w.spec.id()), (answer, askedAt) -> world.rules.told(w, answer, askedAt), () -> { });
+                ask(node, n -> new Command.Submit(n, w.spec.id(), w.spec, null), (answer, askedAt) -> {
+                    if (answer.status() != 200 && answer.status() != 201) {
+                        world.rules.broken("forgotten", "repeated submission of " + w.spec.id() + " got " + answer.status());
+                    }
+                    world.rules.told(w, answer, askedAt);
+                }, () -> { });
+                // A body that can't be used makes no difference to a job that is known.
+                ask(node, n -> new Command.Submit(n, w.spec.id(), null, "sheets is missing"), (answer, askedAt) -> {
+                    if (answer.status() != 200) {
+                        world.rules.broken("forgotten", "repeated submission of " + w.spec.id() + " got " + answer.status());
+                    }
+                }, () -> { });
+            });
+        }
+    }
+
+    /** The last task of the job has just ended. */
+    void ended(String job) {
+        Wish w = wishes.get(job);
+        if (w != null && world.random.nextInt(10) < cancelAtEnd) {
+            cancel(w);
+        }
+    }
+
+    /** A submission that fits no machine, of a team that nobody knows, above its team's limit, or without a field; it must be refused for good. */
+    void submitBad(int number) {
+        badAsked++;
+        String id = String.format("wk-%06d", 900_000 + number);
+        JobSpec spec = switch (number % 4) {
+            case 0 -> bad(id, "team-0", 1_000, null);
+            case 1 -> bad(id, "nobody", 1, null);
+            case 2 -> bad(id, "team-0", 1, "nowhere");
+            default -> null;
+        };
+        int expected = spec == null ? 400 : 422;
+        ask(n -> new Command.Submit(n, id, spec, spec == null ? "sheets is missing" : null), (answer, askedAt) -> {
+            badRefused++;
+            if (answer.status() != expected) {
+                world.rules.broken("accepted_bad", id + " got " + answer.status() + " instead of " + expected);
+            }
+        }, () -> { });
+    }
+
+    private static JobSpec bad(String id, String team, double cpus, String zone) {
+        return new JobSpec(id, "class", team, JobSpec.Priority.NORMAL, 1, cpus, 0, 1, "img-0", 1, null, zone, false, false, true, 5, 0, 0, Double.NaN);
     }
 
     /** A question about a job that nobody submitted. */
--- a/src/test/java/org/shoreusher/model/WorkerModel.java
+++ b/src/test/java/org/shoreusher/model/WorkerModel.java
@@ -48,6 +48,7 @@
     private boolean gone;
     private long hangingUntil;
     private long deafUntil;
+    private long muteUntil;
     private long session = 1;
     private long seq;
     private long token;
@@ -101,6 +102,16 @@
         deafUntil = world.now + forMs;
     }
 
+    /** Reaches no controller for a while, though direct commands reach it. */
+    void mute(long forMs) {
+        muteUntil = world.now + forMs;
+    }
+
+    /** Whether it is up and nothing is wrong with it. */
+    boolean well() {
+        return up && !gone && world.now >= hangingUntil && world.now >= deafUntil && world.now >= muteUntil;
+    }
+
     boolean hasTasks() {
         return !tasks.isEmpty();
     }
@@ -166,6 +177,12 @@
                 world.processes.get(world.random.nextInt(world.processes.size())).request(n -> new Command.Report(n, report), answer -> { });
             });
         }
+        if (world.keepReports && world.random.nextInt(4) == 0) {
+            world.kept.add(report);
+        }
+        if (world.now < muteUntil) {
+            return;
+        }
         world.send(id, node.host, () -> {
             if (!node.alive()) {
                 return;
--- a/src/test/java/org/shoreusher/model/World.java
+++ b/src/test/java/org/shoreusher/model/World.java
@@ -13,6 +13,7 @@
 import org.shoreusher.core.Effect;
 import org.shoreusher.core.Node;
 import org.shoreusher.core.Reading;
+import org.shoreusher.core.WorkerReport;
 import org.shoreusher.settings.Settings;
 import org.shoreusher.settings.Tuning;
 import org.shoreusher.wire.Tree;
@@ -53,6 +54,9 @@
     /** Late copies of reports that have come, and repeats of messages of any kind. */
     int copies;
     int repeats;
+    /** Whether copies of reports are kept until a new owner begins, and then come to every node. */
+    boolean keepReports;
+    final List<WorkerReport> kept = new ArrayList<>();
     /** From here on no trouble goes on, and every question must find its answer. */
     long quietFrom = Long.MAX_VALUE;
     /** Told of every takeover, with the process that took the part. */
@@ -126,6 +130,15 @@
         }
     }
 
+    /** Copies of reports come to every node just as a new owner begins. */
+    private void deliverKept() {
+        for (WorkerReport r : List.copyOf(kept)) {
+            copies++;
+            processes.forEach(p -> in(random.nextInt(300), () -> p.request(n -> new Command.Report(n, r), answer -> { })));
+        }
+        kept.clear();
+    }
+
     /** Cuts a zone off from everything: its machines and the node that is in it still reach each other. */
     void cutZone(String zone, String nodeInIt, long forMs) {
         cut(nodeInIt, "state", forMs);
@@ -276,6 +289,7 @@
             } else if (effect instanceof Effect.Log l) {
                 log.add(now + " " + host + " " + l.line());
                 if (l.line().startsWith("takeover")) {
+                    deliverKept();
                     onTakeover.accept(this);
                 }
             }
--- a/src/test/java/org/shoreusher/wire/FormatsTest.java
+++ b/src/test/java/org/shoreusher/wire/FormatsTest.java
@@ -1,5 +1,6 @@
 package org.shoreusher.wire;
 
+import static org.junit.jupiter.api.Assertions.assertDoesNotThrow;
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertThrows;
 import static org.junit.jupiter.api.Assertions.assertTrue;
@@ -84,6 +85,24 @@
         });
     }
 
+    /** Only what may be null may be left out; a job that lacks anything else, or holds no number where one belongs, is refused. */
+    @Example
+    void everyFieldThatMayNotBeNullIsNeeded() {
+        Map<String, Object> whole = UserFormat.map(new JobSpec("wk-1", "class", "team", JobSpec.Priority.LOW, 3, 1, 0, 1, "image", 1, List.of("a"), "a",
+                true, false, true, 5, 30, 4, 60));
+        for (String field : whole.keySet()) {
+            for (Object value : new Object[] {null, Double.NaN, Double.POSITIVE_INFINITY, -1.0, List.of(Map.of())}) {
+                Map<String, Object> map = new LinkedHashMap<>(whole);
+                map.put(field, value);
+                if (value == null && List.of("presses", "yard", "due_s").contains(field)) {
+                    assertDoesNotThrow(() -> UserFormat.job(new Tree(map)), field);
+                } else {
+                    assertThrows(Tree.Missing.class, () -> UserFormat.job(new Tree(map)), field + " " + value);
+                }
+            }
+        }
+    }
+
     @Example
     void readsAReportWithFieldsItDoesNotKnow() throws Tree.Missing {
         Map<String, Object> report = new LinkedHashMap<>(Map.of("box", "host-1", "addr", "10.0.0.1:9", "press", "t", "yard", "a", "loaners", true,
