Cancelled jobs leave the memory; bodies that are too long are malformed; tests of cancellations

Cause: a cancelled job's record with its description stayed in every node's view for ever, some 3 KB each; at one cancellation a second the heap would be full in hours. It goes to the cache of ended jobs once none of its tasks can be left.

--- a/src/main/java/org/shoreusher/core/Mirror.java
+++ b/src/main/java/org/shoreusher/core/Mirror.java
@@ -80,6 +80,11 @@
         return entries.containsKey(key) || removed.containsKey(key);
     }
 
+    /** Keys in memory. */
+    int size() {
+        return entries.size();
+    }
+
     /** All keys that begin so. */
     SortedMap<String, Entry> under(String prefix) {
         return entries.subMap(prefix, prefix + Character.MAX_VALUE);
--- a/src/main/java/org/shoreusher/core/Node.java
+++ b/src/main/java/org/shoreusher/core/Node.java
@@ -239,6 +239,8 @@
         }
         if (record.status() == JobStatus.DONE) {
             desk.jobDone(id, record);
+        } else if (record.status() == JobStatus.CANCELLED) {
+            desk.jobCancelled(id);
         }
     }
 
--- a/src/main/java/org/shoreusher/core/Part.java
+++ b/src/main/java/org/shoreusher/core/Part.java
@@ -289,7 +289,7 @@
         Object2IntOpenHashMap<String> waiting = new Object2IntOpenHashMap<>();
         jobs.values().forEach(j -> waiting.addTo(j.spec.jobClass(), j.waitingCount));
         return "status: part " + n + " term " + term() + ", machines " + states[0] + " booting " + states[1] + " up " + (states[2] + states[3] + states[4]) + " leaving, CPUs "
-                + used + " of " + cpus() + ", " + jobs.size() + " jobs, waiting " + waiting;
+                + used + " of " + cpus() + ", " + jobs.size() + " jobs, waiting " + waiting + ", " + mirror.size() + " keys in memory";
     }
 
     // ---- takeover ----------------------------------------------------------------------------
--- a/src/main/java/org/shoreusher/core/UserDesk.java
+++ b/src/main/java/org/shoreusher/core/UserDesk.java
@@ -2,6 +2,7 @@
 
 import com.github.benmanes.caffeine.cache.Cache;
 import com.github.benmanes.caffeine.cache.Caffeine;
+import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.HashSet;
 import java.util.LinkedHashMap;
@@ -44,6 +45,10 @@
     private record Unseen(Question question, long revision, long sinceMs) {
     }
 
+    /** A cancelled job, and when its record leaves the view. */
+    private record Leaving(String id, long atMs) {
+    }
+
     private final Settings settings;
     private final Outbox out;
     private final Mirror mirror;
@@ -51,10 +56,12 @@
     private final CountSource counts;
     private final Arrivals arrivals;
     private final Acceptance acceptance;
-    /** Done jobs, dropped from the mirror; a cache because the store has them for ever. */
-    private final Cache<String, JobRecord> done = Caffeine.newBuilder().maximumSize(Tuning.FINAL_STATES).executor(Runnable::run).build();
+    /** Ended jobs, dropped from the mirror; a cache because the store has them for ever. */
+    private final Cache<String, JobRecord> ended = Caffeine.newBuilder().maximumSize(Tuning.FINAL_STATES).executor(Runnable::run).build();
     private final List<Question> questions = new ArrayList<>();
     private final List<Unseen> unseen = new ArrayList<>();
+    /** Cancelled jobs that are yet in the view, the longest cancelled first. */
+    private final ArrayDeque<Leaving> leaving = new ArrayDeque<>();
     private int readsInFlight;
     private int working;
 
@@ -101,7 +108,7 @@
             return;
         }
         // A known job is answered with its state before anything in the body is judged.
-        if (spec != null && mirror.loaded() && arrivals.record(id) == null && done.getIfPresent(id) == null && verdict(spec) == 0) {
+        if (spec != null && mirror.loaded() && arrivals.record(id) == null && ended.getIfPresent(id) == null && verdict(spec) == 0) {
             accept(request, spec);
             return;
         }
@@ -211,7 +218,7 @@
     // ---- confirmed reads ---------------------------------------------------------------------
 
     private void ask(long request, String id, Consumer<JobRecord> then) {
-        JobRecord last = done.getIfPresent(id);
+        JobRecord last = ended.getIfPresent(id);
         JobRecord shown = arrivals.record(id);
         if (last == null && shown != null && shown.status() != JobStatus.OPEN) {
             last = shown;
@@ -227,6 +234,7 @@
     void step() {
         acceptance.step();
         answerUnseen();
+        dropCancelled();
         if (questions.isEmpty() || readsInFlight >= Tuning.READS_AT_ONCE) {
             return;
         }
@@ -275,7 +283,7 @@
     }
 
     private JobRecord seen(String id) {
-        JobRecord last = done.getIfPresent(id);
+        JobRecord last = ended.getIfPresent(id);
         return last != null ? last : arrivals.record(id);
     }
 
@@ -336,7 +344,24 @@
 
     /** A job has become done: its record moves from the mirror to the cache. */
     void jobDone(String id, JobRecord record) {
-        done.put(id, record);
+        ended.put(id, record);
         mirror.evict(Keys.job(id));
     }
+
+    /** A job is cancelled: its record stays in the view as long as its tasks may be on machines, and then goes the same way. */
+    void jobCancelled(String id) {
+        leaving.add(new Leaving(id, out.now.steadyMs() + (long) (settings.cancelS() * 1000 * Tuning.CANCELLED_KEPT)));
+    }
+
+    private void dropCancelled() {
+        while (!leaving.isEmpty() && leaving.peek().atMs() <= out.now.steadyMs()) {
+            String id = leaving.poll().id();
+            Mirror.Entry entry = mirror.get(Keys.job(id));
+            if (entry != null) {
+                JobRecord record = JobRecord.read(entry.value());
+                ended.put(id, new JobRecord(record.part(), record.status(), record.tasks(), record.acceptedMs(), record.begun(), null));
+                mirror.evict(Keys.job(id));
+            }
+        }
+    }
 }
--- a/src/main/java/org/shoreusher/settings/Tuning.java
+++ b/src/main/java/org/shoreusher/settings/Tuning.java
@@ -131,6 +131,8 @@
     public static final long UNSEEN_WAIT_MS = 1_000;
     /** ms; how often records of arrivals that nothing needs any more are removed. */
     public static final long SWEEP_EVERY_MS = 2_000;
+    /** times the time for cancellations after which a cancelled job's record leaves the memory: surely none of its tasks is left. */
+    public static final double CANCELLED_KEPT = 2;
     /** user requests in work at once per node; more are answered 503 at once. */
     public static final int MAX_USER_WORK = 200;
 
--- a/src/main/java/org/shoreusher/user/FrontServer.java
+++ b/src/main/java/org/shoreusher/user/FrontServer.java
@@ -19,6 +19,7 @@
 import io.netty.handler.codec.http.FullHttpResponse;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaderValues;
+import io.netty.handler.codec.http.HttpMessage;
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpObjectAggregator;
 import io.netty.handler.codec.http.HttpResponseStatus;
@@ -85,7 +86,7 @@
                     @Override
                     protected void initChannel(SocketChannel ch) {
                         Pace pace = new Pace();
-                        ch.pipeline().addLast(pace, new HttpServerCodec(), new HttpObjectAggregator(Tuning.MAX_BODY), new Requests(pace));
+                        ch.pipeline().addLast(pace, new HttpServerCodec(), new Bodies(), new Requests(pace));
                     }
                 }).bind(settings.front().ip(), settings.front().port()).sync();
     }
@@ -125,6 +126,18 @@
         ctx.channel().config().setAutoRead(true);
     }
 
+    /** Joins a request with its body; one that is too long is malformed like any other, and says so before it has arrived whole. */
+    private static final class Bodies extends HttpObjectAggregator {
+        Bodies() {
+            super(Tuning.MAX_BODY);
+        }
+
+        @Override
+        protected void handleOversizedMessage(ChannelHandlerContext ctx, HttpMessage oversized) {
+            send(ctx, false, 400, Map.of("error", "the body is longer than " + Tuning.MAX_BODY + " bytes"), 0);
+        }
+    }
+
     /** Bounds how long a connection may be idle, and how long a request may take to arrive. */
     private final class Pace extends ChannelInboundHandlerAdapter {
         private ScheduledFuture<?> limit;
--- a/src/test/java/org/shoreusher/model/SingleNode.java
+++ b/src/test/java/org/shoreusher/model/SingleNode.java
@@ -33,6 +33,7 @@
     void steps(int count) {
         for (int i = 0; i < count; i++) {
             now += 60;
+            world.now = now;
             List<Command> batch = new ArrayList<>(commands);
             commands.clear();
             for (Effect e : node.step(new Reading(now, now), batch)) {
@@ -41,6 +42,8 @@
                 } else if (e instanceof Effect.CloudCall c) {
                     Command.CloudReply reply = cloud.apply(c.op());
                     commands.add(new Command.CloudReply(c.call(), reply.status(), reply.body()));
+                } else if (e instanceof Effect.Log l) {
+                    log.add(l.line());
                 } else if (e instanceof Effect.Answer a) {
                     answers.put(a.request(), a);
                 }
@@ -88,6 +91,27 @@
         stored("part/0", Map.of("owner", "node-1/x", "expiry", 0L, "term", 5L, "done", Map.of()));
     }
 
+    StateModel state() {
+        return world.state;
+    }
+
+    /** Lines of its log. */
+    final List<String> log = new ArrayList<>();
+
+    /** A user cancels through another node. */
+    void cancelled(String id, int tasks) {
+        stored("job/" + id, Map.of("part", 0L, "status", "CANCELLED", "tasks", (long) tasks, "accepted", now, "begun", 0L, "spec", UserFormat.map(spec(id, tasks, 2, false))));
+    }
+
+    /** A user asks; the answer's status. */
+    Object ask(String id) {
+        long request = ++requests;
+        commands.add(new Command.Poll(request, id));
+        steps(3);
+        Effect.Answer a = answers.get(request);
+        return a == null ? null : a.status() == 200 ? a.body().get("status") : a.status();
+    }
+
     /** An open job of two tasks in the store, the first of which may have been started. */
     void begunJob(String id, boolean oneZone) {
         stored("job/" + id, Map.of("part", 0L, "status", "OPEN", "tasks", 2L, "accepted", now, "begun", 1L, "spec", UserFormat.map(spec(id, 2, 2, oneZone))));
--- a/src/test/java/org/shoreusher/model/StateModel.java
+++ b/src/test/java/org/shoreusher/model/StateModel.java
@@ -84,6 +84,15 @@
         return world.now < outageUntil || world.now < refusedUntil.getOrDefault(host, 0L);
     }
 
+    private boolean viewStalled(String host) {
+        return world.now < viewsStalledUntil.getOrDefault(host, 0L);
+    }
+
+    /** How many keys begin so. */
+    int count(String prefix) {
+        return items.subMap(prefix, prefix + Character.MAX_VALUE).size();
+    }
+
     Map<String, Object> value(String key) {
         Item i = items.get(key);
         return i == null ? null : i.value;
@@ -100,7 +109,7 @@
     private void answer(String host, StateOp op, World.Reply reply) {
         if (away(host)) {
             reply.answer(503, null);
-        } else if ((op instanceof StateOp.Watch || op instanceof StateOp.Page) && world.now < viewsStalledUntil.getOrDefault(host, 0L)) {
+        } else if (op instanceof StateOp.Page && viewStalled(host)) {
             return;
         } else if (op instanceof StateOp.Multi m && !m.writes().isEmpty() && world.now < answersLostUntil && world.random.nextInt(10) < answersLostOfTen) {
             answersLost++;
@@ -120,7 +129,7 @@
             page(page, reply);
         } else if (op instanceof StateOp.Watch watch) {
             Waiter w = new Waiter(watch, host, world.now + watch.blockMs(), reply);
-            if (!answer(w)) {
+            if (viewStalled(host) || !answer(w)) {
                 waiters.add(w);
                 world.in(watch.blockMs(), () -> expire(w));
             }
@@ -185,7 +194,7 @@
                 forgotten = changes.remove(0).revision;
             }
             for (Waiter w : new ArrayList<>(waiters)) {
-                if (!away(w.host) && answer(w)) {
+                if (!away(w.host) && !viewStalled(w.host) && answer(w)) {
                     waiters.remove(w);
                 }
             }
@@ -219,7 +228,7 @@
 
     private void expire(Waiter w) {
         if (waiters.contains(w)) {
-            if (away(w.host)) {
+            if (away(w.host) || viewStalled(w.host)) {
                 // Open watches stay open during an outage; the caller's patience ends first.
                 world.in(Tuning.WATCH_BLOCK_MS, () -> expire(w));
             } else {
--- a/src/test/java/org/shoreusher/net/ConnectionsTest.java
+++ b/src/test/java/org/shoreusher/net/ConnectionsTest.java
@@ -76,6 +76,26 @@
         }
     }
 
+    /** A body above the protocol's bound is malformed, which users don't try again. */
+    @Example
+    void aBodyThatIsTooLongIsMalformed() throws Exception {
+        NioEventLoopGroup group = new NioEventLoopGroup(1);
+        int port;
+        try (ServerSocket free = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+            port = free.getLocalPort();
+        }
+        new FrontServer(group, settings(port, Tuning.OWN_SOCKETS + 2), command -> true, () -> 0L).listen();
+        try (Socket socket = new Socket(InetAddress.getLoopbackAddress(), port)) {
+            socket.setSoTimeout(20_000);
+            socket.getOutputStream().write(("POST /v2/runs HTTP/1.1\r\nhost: x\r\ncontent-length: " + (Tuning.MAX_BODY + 1) + "\r\n\r\n").getBytes(StandardCharsets.US_ASCII));
+            byte[] bytes = new byte[4_096];
+            int read = socket.getInputStream().read(bytes);
+            assertEquals("HTTP/1.1 400", new String(bytes, 0, read, StandardCharsets.ISO_8859_1).substring(0, 12));
+        } finally {
+            group.shutdownGracefully(0, 1, TimeUnit.SECONDS);
+        }
+    }
+
     private static int ask(Socket socket) throws Exception {
         socket.setSoTimeout(20_000);
         socket.getOutputStream().write("GET /nothing HTTP/1.1\r\nhost: x\r\n\r\n".getBytes(StandardCharsets.US_ASCII));
