A machine that never hears a new owner holds its rebuild up for a lease, not for ever

Cause: each report that had not seen the new term was answered and so put off the moment at which the worker's lease has surely ended. A newer report shows that the answer before it was not heard, so the lease runs from the owner before.

--- a/src/main/java/org/shoreusher/core/Machine.java
+++ b/src/main/java/org/shoreusher/core/Machine.java
@@ -36,6 +36,8 @@
     long reportedAtMs = Long.MIN_VALUE / 2;
     /** steady ms of the last moment at which a valid answer may have renewed the worker's lease. */
     long answeredAtMs;
+    /** steady ms of the last moment at which an owner before may have given it a valid answer. */
+    long inheritedAnswerMs;
     /** steady ms of the last answer that this owner gave; -1 if none. */
     long repliedAtMs = -1;
     /** Answers in a row that the worker seems not to have heard. */
--- a/src/main/java/org/shoreusher/core/Part.java
+++ b/src/main/java/org/shoreusher/core/Part.java
@@ -353,6 +353,7 @@
         // The owner before may have kept the worker's lease alive in its grace, as long as it believed this node to be
         // without state service as well.
         m.answeredAtMs = holding.takenAtMs() + Math.max(0, Math.min(PartLease.graceMs(settings), others.saidStateAwayUntilMs() - holding.takenAtMs()));
+        m.inheritedAnswerMs = m.answeredAtMs;
         machines.put(id, m);
         return m;
     }
--- a/src/main/java/org/shoreusher/core/Reports.java
+++ b/src/main/java/org/shoreusher/core/Reports.java
@@ -56,7 +56,7 @@
         }
         // A report may have been held up since before the takeover and not show what the owner before started
         // after it. Only one made by a worker that has seen this owner's term is surely newer than all that.
-        if (m != null && m.inherited && !m.heard && r.token() < part.holding().takenTerm()) {
+        if (m != null && m.inherited && !m.heard && r.token() < part.holding().takenTerm() && !deafSinceTakeover(m, r)) {
             m.answeredAtMs = Math.max(m.answeredAtMs, out.now.steadyMs());
             out.answer(request, 200, WorkerFormat.answer(part.term(), stopsOfCancelled(r)));
             return;
@@ -84,6 +84,20 @@
         out.answer(request, 200, WorkerFormat.answer(part.term(), orders));
     }
 
+    /**
+     * Whether nothing that the owner before started can be left on a machine that has not seen this owner's term. Each newer
+     * report shows that its worker did not hear the answer to the one before, so its lease runs from the last answer of the owner
+     * before. Without this a machine that reports and hears nothing kept a whole rebuild waiting for as long as it was deaf.
+     */
+    private boolean deafSinceTakeover(Machine m, WorkerReport r) {
+        boolean newer = r.newerThan(m.session, m.seq);
+        if (newer) {
+            m.session = r.session();
+            m.seq = r.seq();
+        }
+        return newer && out.now.steadyMs() > m.inheritedAnswerMs + PartLease.workerLeaseMs(settings);
+    }
+
     private Machine adopt(WorkerReport r) {
         // A late copy must not bring back a machine that was returned, be its record still there or not.
         if (part.fleet().list().isGone(r.machine())) {
--- a/src/test/java/org/shoreusher/model/ReportsTest.java
+++ b/src/test/java/org/shoreusher/model/ReportsTest.java
@@ -160,6 +160,42 @@
         assertEquals(Set.of("wk-1/1"), Set.copyOf(started));
     }
 
+    /**
+     * A machine that has been deaf since before a takeover reports on and on, and never sees the new term. Once its lease from the
+     * owner before has surely ended, what that one started there is gone and runs elsewhere; copies of one report prove nothing.
+     */
+    @Example
+    void aMachineThatNeverHearsTheNewOwnerHoldsNothingUp() {
+        for (boolean newer : new boolean[] {true, false}) {
+            SingleNode owner = new SingleNode();
+            owner.openJob("wk-1", 1);
+            owner.left("host-1", "host-2");
+            owner.steps(20);
+            long from = owner.now;
+            owner.report("host-1", 1, 5);
+            long ranAt = 0;
+            for (int seq = 2; ranAt == 0 && seq < 60; seq++) {
+                owner.steps(12);
+                if (newer && owner.now - from > 1_000 * ClusterModelTest.settings().workerLeaseS()) {
+                    owner.reportOf("host-2", 2, seq, 5);
+                } else {
+                    owner.report("host-2", newer ? seq : 1, 5, new TaskReport("wk-1", 0, 1, TaskState.RUNNING, Cause.NONE));
+                }
+                owner.steps(3);
+                if (owner.report("host-1", seq, 6).contains("run")) {
+                    ranAt = owner.now - from;
+                }
+                // The copies come for a while only; each may have been the answer to the report that its worker waits for.
+                if (!newer && seq == 30) {
+                    break;
+                }
+            }
+            long lease = (long) (ClusterModelTest.settings().workerLeaseS() * 1000);
+            assertEquals(newer, ranAt > 0, "newer reports: " + newer);
+            assertTrue(!newer || ranAt > lease, "too early: " + ranAt);
+        }
+    }
+
     /** A task of a former session that a late copy shows counts for nothing. */
     @Example
     void copiesOfAFormerSessionChangeNothing() {
