--- a/src/test/java/org/shoreusher/model/MeetingsTest.java
+++ b/src/test/java/org/shoreusher/model/MeetingsTest.java
@@ -19,7 +19,7 @@
 /** Troubles that meet: two or three of them within a few seconds, several times in a day. */
 class MeetingsTest {
     private static final long QUIET_MS = 200_000;
-    private static final long END_MS = 400_000;
+    private static final long END_MS = 440_000;
     private static final int KINDS = 17;
 
     private static void some(World w, Consumer<WorkerModel> what) {
@@ -92,9 +92,13 @@
         w.users.impatient = 3;
         w.users.closeLooks = true;
         w.users.cancelAtEnd = seed % 2 == 0 ? 3 : 0;
-        for (int i = 0; i < 60; i++) {
+        for (int i = 0; i < 36; i++) {
             w.users.submit(i, 1_000 + w.random.nextInt(130_000));
         }
+        // Two lots that come together, so that submissions share writes.
+        for (int i = 36; i < 66; i++) {
+            w.users.submit(i, (i < 51 ? 20_000 : 70_000) + w.random.nextInt(20));
+        }
         for (int i = 0; i < 12; i++) {
             int n = i;
             w.at(w.random.nextInt(150_000), w.users::askUnknown);
@@ -113,6 +117,7 @@
         World w = world(seed, meetings(seed));
         assertEquals(List.of(), w.rules.violations, () -> "seed " + seed + "\n" + String.join("\n", w.log));
         assertTrue(w.rules.starts > 100, "hardly anything ran: " + w.rules.starts);
+        assertTrue(w.state.sharedArrivals > 0, "no submissions shared a write");
         List<String> open = w.users.wishes.values().stream().filter(x -> !x.doneTold && !x.cancelTold).map(x -> x.spec.id()).toList();
         assertEquals(List.of(), open, () -> "seed " + seed + "\n" + String.join("\n", w.log));
     }
