--- a/src/test/java/org/shoreusher/model/ReportsTest.java
+++ b/src/test/java/org/shoreusher/model/ReportsTest.java
@@ -196,6 +196,30 @@
         }
     }
 
+    /**
+     * A new machine that reports at once gets nothing before its record is durable: the next owner, which reads the records, would
+     * not wait for it and start the same tasks elsewhere.
+     */
+    @Example
+    void aNewMachineGetsNothingBeforeItsRecordIsDurable() {
+        for (boolean lost : new boolean[] {false, true}) {
+            SingleNode owner = new SingleNode();
+            owner.left();
+            owner.steps(20);
+            owner.openJob("wk-1", 1);
+            owner.steps(3);
+            if (lost) {
+                owner.state().loseAnswers(10, false, 60_000);
+            }
+            List<String> started = new ArrayList<>();
+            for (int seq = 1; seq < 12; seq++) {
+                started.addAll(owner.startsOf("host-8", seq, seq == 1 ? 0 : 6));
+                owner.steps(4);
+            }
+            assertEquals(!lost, started.contains("wk-1/0"), "record lost: " + lost);
+        }
+    }
+
     /** A task of a former session that a late copy shows counts for nothing. */
     @Example
     void copiesOfAFormerSessionChangeNothing() {
