--- a/src/main/java/org/shoreusher/core/Acceptance.java
+++ b/src/main/java/org/shoreusher/core/Acceptance.java
@@ -61,7 +61,12 @@
             return;
         }
         Map<String, Object> record = JobRecord.open(roomiestPart.applyAsInt(spec), spec, out.now.wallMs()).write();
-        queue.put(spec.id(), new Arriving(spec, out.now.steadyMs(), record, Tree.jsonLength(record) + Tuning.RECORD_FRAME, new ArrayList<>(List.of(request))));
+        int bytes = Tree.jsonLength(record);
+        if (bytes > settings.valueBytes()) {
+            out.answer(request, 400, Map.of("error", "the description is longer than a record may be"));
+            return;
+        }
+        queue.put(spec.id(), new Arriving(spec, out.now.steadyMs(), record, bytes + Tuning.RECORD_FRAME, new ArrayList<>(List.of(request))));
     }
 
     /** Sends what has gathered. */
--- /dev/null
+++ b/src/main/java/org/shoreusher/core/Displacement.java
@@ -0,0 +1,135 @@
+package org.shoreusher.core;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.List;
+import org.shoreusher.settings.Tuning;
+
+/**
+ * Chooses batch tasks of lower priority that give way to replicas of services at once, on machines where the replicas then
+ * fit. A replica can't wait for a task to save or to end, nor for a machine to boot: its users are waiting.
+ */
+final class Displacement {
+    /** What a machine has free, or will have when its tasks that are to stop have stopped. */
+    private static final class Room {
+        final Machine machine;
+        double cpus;
+        double gpus;
+        double mem;
+        final List<Live> victims = new ArrayList<>();
+
+        Room(Machine machine) {
+            this.machine = machine;
+            cpus = machine.cpusFree();
+            gpus = machine.gpusFree();
+            mem = machine.memFree();
+        }
+
+        void freed(JobSpec spec) {
+            cpus += spec.cpus();
+            gpus += spec.gpus();
+            mem += spec.memGb();
+        }
+
+        void taken(JobSpec spec) {
+            cpus -= spec.cpus();
+            gpus -= spec.gpus();
+            mem -= spec.memGb();
+        }
+
+        boolean fits(JobSpec spec, double moreCpus, double moreGpus, double moreMem) {
+            return cpus + moreCpus + Tuning.EPSILON >= spec.cpus() && gpus + moreGpus + Tuning.EPSILON >= spec.gpus() && mem + moreMem + Tuning.EPSILON >= spec.memGb();
+        }
+    }
+
+    private final Part part;
+    private final Reading now;
+    private final List<Room> rooms = new ArrayList<>();
+
+    Displacement(Part part, Reading now) {
+        this.part = part;
+        this.now = now;
+        for (Machine m : part.machines().values()) {
+            if (part.available(m)) {
+                Room room = new Room(m);
+                for (Live live : m.tasks.values()) {
+                    if (live.doomed || live.stopping) {
+                        room.freed(live.job.spec);
+                    } else if (live.job.spec.shape().ends()) {
+                        room.victims.add(live);
+                    }
+                }
+                room.victims.sort(Comparator.comparingDouble(this::loss).thenComparing(l -> l.job.id).thenComparingInt(l -> l.index));
+                rooms.add(room);
+            }
+        }
+        rooms.sort(Comparator.comparing(r -> r.machine.id));
+    }
+
+    /** CPU-seconds that are lost with the task: what it has done since it last saved, and its start if that would count yet. */
+    private double loss(Live live) {
+        double ranS = live.runningSinceMs < 0 ? 0 : (now.steadyMs() - live.runningSinceMs) / 1000.0;
+        double lostS = live.job.spec.checkpointS() > 0 ? Math.min(ranS, live.job.spec.checkpointS()) : ranS;
+        double early = now.steadyMs() - live.sinceMs < Tuning.START_COUNTS_MS ? Tuning.START_COUNTS_MS / 1000.0 : 0;
+        return live.job.spec.cpus() * (lostS + early);
+    }
+
+    /** Tasks to stop so that the waiting replicas of these jobs, most pressing first, find room. */
+    List<Live> choose(List<Job> services) {
+        List<Live> chosen = new ArrayList<>();
+        for (Job job : services) {
+            JobSpec spec = job.spec;
+            Planner.ZoneRule zones = new Planner.ZoneRule(job);
+            int left = Math.min(job.waitingCount, new Planner(new ArrayList<>(), part::cpusLeft, part::gpusLeft).allowedByTeam(spec));
+            while (left-- > 0) {
+                Room best = null;
+                List<Live> least = null;
+                double leastLoss = Double.MAX_VALUE;
+                for (Room room : rooms) {
+                    Machine m = room.machine;
+                    if (!spec.allows(m.type.name(), m.zone, m.spot) || zones.room(m.zone) <= 0 || job.failedOn.contains(m.id)) {
+                        continue;
+                    }
+                    List<Live> victims = victims(room, spec);
+                    double loss = victims == null ? Double.MAX_VALUE : victims.stream().mapToDouble(this::loss).sum();
+                    if (loss < leastLoss) {
+                        best = room;
+                        least = victims;
+                        leastLoss = loss;
+                    }
+                }
+                if (best == null) {
+                    break;
+                }
+                for (Live live : least) {
+                    best.victims.remove(live);
+                    best.freed(live.job.spec);
+                }
+                best.taken(spec);
+                zones.add(best.machine.zone, 1);
+                chosen.addAll(least);
+            }
+        }
+        return chosen;
+    }
+
+    /** The tasks that must go from a machine for one replica, fewest losses first; null if it finds no room all the same. */
+    private static List<Live> victims(Room room, JobSpec spec) {
+        List<Live> victims = new ArrayList<>();
+        double cpus = 0;
+        double gpus = 0;
+        double mem = 0;
+        for (Live live : room.victims) {
+            if (room.fits(spec, cpus, gpus, mem)) {
+                break;
+            }
+            if (live.job.spec.priority().compareTo(spec.priority()) > 0) {
+                victims.add(live);
+                cpus += live.job.spec.cpus();
+                gpus += live.job.spec.gpus();
+                mem += live.job.spec.memGb();
+            }
+        }
+        return room.fits(spec, cpus, gpus, mem) ? victims : null;
+    }
+}
--- a/src/main/java/org/shoreusher/core/FinishedRecords.java
+++ b/src/main/java/org/shoreusher/core/FinishedRecords.java
@@ -1,107 +1,237 @@
 package org.shoreusher.core;
 
 import java.util.ArrayList;
+import java.util.Arrays;
 import java.util.BitSet;
 import java.util.Collection;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
-import java.util.function.IntPredicate;
+import java.util.function.Function;
+import java.util.function.IntFunction;
 import org.shoreusher.settings.Settings;
 import org.shoreusher.settings.Tuning;
+import org.shoreusher.wire.Tree;
 
 /**
- * The finished tasks of a part's open jobs, laid out in records below the value limit: chunk 0 goes into
- * the part's own record, the others spill. A job keeps its chunk, so that a change touches one record.
+ * The finished tasks of a part's open jobs, laid out in records below the value limit: record 0 is the part's own, the
+ * others spill. A job's tasks are cut into slices that fit into a record however they finish, and a slice keeps its record, so that
+ * a change touches one.
+ *
+ * <p>Promise: what is durable stays so. A slice that has to move, since an owner before could write longer records or cut jobs
+ * otherwise, leaves its old record only when it stands in its new one; and no record is ever written above the limit.
  */
 final class FinishedRecords {
-    private final List<Map<String, Object>> chunks = new ArrayList<>();
-    private final List<Job> jobs = new ArrayList<>();
-    private final List<BitSet> written = new ArrayList<>();
+    /** A slice of a job in its record. */
+    private record Placed(Job job, int chunk, BitSet done) {
+    }
+
+    private final int limit;
+    private final Collection<Job> jobs;
+    /** What the store has of a record; empty if nothing. */
+    private final IntFunction<Map<String, Object>> stored;
+    private final List<Map<String, BitSet>> chunks = new ArrayList<>();
+    private final List<Placed> placed = new ArrayList<>();
 
-    private FinishedRecords() {
+    private FinishedRecords(Collection<Job> jobs, int limit, IntFunction<Map<String, Object>> stored) {
+        this.jobs = jobs;
+        this.limit = limit;
+        this.stored = stored;
     }
 
-    static FinishedRecords of(Collection<Job> jobs, Settings s) {
-        FinishedRecords r = new FinishedRecords();
-        r.chunk(0);
-        int limit = (int) (s.valueBytes() * Tuning.RECORD_FILL);
-        r.assign(jobs, limit);
-        int[] used = new int[r.chunks.size()];
-        for (Job job : jobs) {
-            r.add(job, limit, used);
-        }
+    static FinishedRecords of(Collection<Job> jobs, Settings s, IntFunction<Map<String, Object>> stored) {
+        FinishedRecords r = new FinishedRecords(jobs, limit(s), stored);
+        r.chunks(0);
+        r.assign();
+        jobs.forEach(r::add);
         return r;
     }
 
-    private void assign(Collection<Job> jobs, int limit) {
-        List<Integer> load = new ArrayList<>(List.of(0));
+    private static int limit(Settings s) {
+        return (int) (s.valueBytes() * Tuning.RECORD_FILL);
+    }
+
+    /** Tasks in a slice: what fits into a record when every other one is finished. */
+    private static int slice(Job job, int limit) {
+        return Math.max(1, (limit - frame(job)) / Tuning.RECORD_PER_TASK);
+    }
+
+    private static int frame(Job job) {
+        return Tuning.RECORD_FRAME + job.id.length();
+    }
+
+    private static void cut(Job job, int limit) {
+        int slices = (job.spec.tasks() - 1) / slice(job, limit) + 1;
+        if (job.chunks.length != slices) {
+            job.chunks = new int[slices];
+            Arrays.fill(job.chunks, -1);
+        }
+    }
+
+    /** A record of an owner before has these finished tasks of the job. */
+    static void found(Job job, BitSet set, int chunk, Settings s) {
+        int limit = limit(s);
+        cut(job, limit);
+        for (int i = set.nextSetBit(0); i >= 0 && i < job.spec.tasks(); i = set.nextSetBit((i / slice(job, limit) + 1) * slice(job, limit))) {
+            job.chunks[i / slice(job, limit)] = chunk;
+        }
+    }
+
+    private int worst(Job job, int slice) {
+        int size = slice(job, limit);
+        return frame(job) + Math.min(size, job.spec.tasks() - slice * size) * Tuning.RECORD_PER_TASK;
+    }
+
+    private void assign() {
+        List<Integer> load = new ArrayList<>();
         for (Job job : jobs) {
-            if (job.chunk >= 0) {
-                grow(load, job.chunk);
-                load.set(job.chunk, load.get(job.chunk) + worst(job, limit));
+            if (!job.spec.shape().ends()) {
+                continue;
             }
+            cut(job, limit);
+            for (int i = 0; i < job.chunks.length; i++) {
+                int c = job.chunks[i];
+                if (c >= 0 && loadOf(load, c) + worst(job, i) > limit) {
+                    job.chunks[i] = -1;
+                } else if (c >= 0) {
+                    load.set(c, load.get(c) + worst(job, i));
+                }
+            }
+        }
+        int fresh = 1;
+        while (!stored.apply(fresh).isEmpty()) {
+            fresh++;
         }
         for (Job job : jobs) {
-            if (job.chunk < 0) {
-                int c = 0;
-                while (c < load.size() && load.get(c) > 0 && load.get(c) + worst(job, limit) > limit) {
-                    c++;
+            for (int i = 0; i < job.chunks.length; i++) {
+                if (job.chunks[i] < 0) {
+                    // One that moves goes where nothing of others is kept: two records might else wait for each other.
+                    int c = slice(job, i, job.durable).isEmpty() ? 0 : fresh;
+                    while (loadOf(load, c) + worst(job, i) > limit) {
+                        c++;
+                    }
+                    job.chunks[i] = c;
+                    load.set(c, load.get(c) + worst(job, i));
                 }
-                grow(load, c);
-                job.chunk = c;
-                load.set(c, load.get(c) + worst(job, limit));
             }
         }
-        for (int c = 0; c < load.size(); c++) {
-            chunk(c);
+        chunks(Math.max(0, load.size() - 1));
+        // Records that an owner before has filled and nothing is assigned to any more: to be emptied.
+        for (int c = load.size(); !stored.apply(c).isEmpty(); c++) {
+            chunks(c);
         }
     }
 
-    private static void grow(List<Integer> load, int c) {
+    private static int loadOf(List<Integer> load, int c) {
         while (load.size() <= c) {
             load.add(0);
         }
+        return load.get(c);
     }
 
-    private static int worst(Job job, int limit) {
-        return Math.min(limit, Tuning.RECORD_FRAME + job.spec.tasks() * Tuning.RECORD_PER_TASK);
+    /** Those of the tasks that are in one slice. */
+    private BitSet slice(Job job, int i, BitSet tasks) {
+        int size = slice(job, limit);
+        BitSet set = new BitSet();
+        set.set(i * size, Math.min(job.spec.tasks(), (i + 1) * size));
+        set.and(tasks);
+        return set;
     }
 
-    private void add(Job job, int limit, int[] used) {
-        if (job.done.isEmpty()) {
-            return;
+    private void add(Job job) {
+        for (int i = 0; i < job.chunks.length; i++) {
+            BitSet set = slice(job, i, job.done);
+            if (!set.isEmpty()) {
+                chunks(job.chunks[i]).computeIfAbsent(job.id, id -> new BitSet()).or(set);
+                placed.add(new Placed(job, job.chunks[i], set));
+            }
         }
-        BitSet set = (BitSet) job.done.clone();
-        String text = TaskRanges.format(set);
-        // What does not fit stays unrecorded, hence unforgotten by its worker, until ranges merge.
-        while (used[job.chunk] + Tuning.RECORD_FRAME + text.length() > limit && !set.isEmpty()) {
-            set.clear(set.length() / 2, set.length());
-            text = TaskRanges.format(set);
+    }
+
+    private Map<String, BitSet> chunks(int c) {
+        while (chunks.size() <= c) {
+            chunks.add(new LinkedHashMap<>());
         }
-        used[job.chunk] += Tuning.RECORD_FRAME + text.length();
-        chunks.get(job.chunk).put(job.id, text);
-        jobs.add(job);
-        written.add(set);
+        return chunks.get(c);
     }
 
     int chunks() {
         return chunks.size();
     }
 
+    /**
+     * What a record should hold now: its slices, and of others what stands nowhere else yet. If that is too long, what it holds
+     * already, which is to be left as it is.
+     */
     Map<String, Object> chunk(int c) {
-        while (chunks.size() <= c) {
-            chunks.add(new LinkedHashMap<>());
+        Map<String, BitSet> wanted = new LinkedHashMap<>(chunks.get(c));
+        Map<String, Object> now = stored.apply(c);
+        for (Job job : jobs) {
+            if (now.get(job.id) instanceof String ranges) {
+                BitSet only = TaskRanges.parse(ranges);
+                if (wanted.containsKey(job.id)) {
+                    only.andNot(wanted.get(job.id));
+                }
+                // What stands in the record of its slice, which keeps it; two records that are both to lose it would trust in each other.
+                for (int i = 0; i < job.chunks.length && !only.isEmpty(); i++) {
+                    if (job.chunks[i] != c && stored.apply(job.chunks[i]).get(job.id) instanceof String there) {
+                        only.andNot(slice(job, i, TaskRanges.parse(there)));
+                    }
+                }
+                if (!only.isEmpty()) {
+                    only.or(wanted.getOrDefault(job.id, new BitSet()));
+                    wanted.put(job.id, only);
+                }
+            }
+        }
+        Map<String, Object> out = new LinkedHashMap<>();
+        wanted.forEach((id, set) -> out.put(id, TaskRanges.format(set)));
+        return Tree.jsonLength(out) > limit ? now : out;
+    }
+
+    /** Notes what has become durable: the slices whose records hold them. */
+    void markDurable() {
+        for (Placed p : placed) {
+            if (stored.apply(p.chunk).get(p.job.id) instanceof String ranges) {
+                BitSet set = TaskRanges.parse(ranges);
+                set.and(p.done);
+                p.job.durable.or(set);
+            }
         }
-        return chunks.get(c);
     }
 
-    /** Notes what has become durable: the jobs whose chunks were written, or stand there unchanged. */
-    void markDurable(IntPredicate stored) {
-        for (int i = 0; i < jobs.size(); i++) {
-            if (stored.test(jobs.get(i).chunk)) {
-                jobs.get(i).durable = written.get(i);
+    /**
+     * Cuts finished tasks that an owner before has noted in one record into records that may be written.
+     *
+     * @param covered finished tasks of a job that stand elsewhere already
+     */
+    static List<Map<String, Object>> split(Map<String, Object> done, Settings s, Function<String, BitSet> covered) {
+        int limit = limit(s);
+        List<Map<String, Object>> out = new ArrayList<>();
+        Map<String, Object> open = new LinkedHashMap<>();
+        int used = 0;
+        for (Map.Entry<String, Object> e : done.entrySet()) {
+            BitSet left = TaskRanges.parse((String) e.getValue());
+            left.andNot(covered.apply(e.getKey()));
+            int frame = Tuning.RECORD_FRAME + e.getKey().length();
+            int size = Math.max(1, (limit - frame) / Tuning.RECORD_PER_TASK);
+            for (int from = left.nextSetBit(0); from >= 0; from = left.nextSetBit(from + size)) {
+                BitSet piece = new BitSet();
+                piece.set(from, from + size);
+                piece.and(left);
+                String text = TaskRanges.format(piece);
+                if (used + frame + text.length() > limit || open.containsKey(e.getKey())) {
+                    out.add(open);
+                    open = new LinkedHashMap<>();
+                    used = 0;
+                }
+                open.put(e.getKey(), text);
+                used += frame + text.length();
             }
         }
+        if (!open.isEmpty()) {
+            out.add(open);
+        }
+        return out;
     }
 }
--- a/src/main/java/org/shoreusher/core/Fleet.java
+++ b/src/main/java/org/shoreusher/core/Fleet.java
@@ -18,6 +18,7 @@
     private final Types types;
     private final Rentals rentals;
     private final MachineList list;
+    private final Standby standby;
     /** Machines the last plan had nothing for, and how many more it could have filled. */
     private final Set<Machine> spare = new HashSet<>();
     private int lacks;
@@ -33,6 +34,7 @@
         this.types = types;
         rentals = new Rentals(part, settings, out, this);
         list = new MachineList(part, settings, out, types);
+        standby = new Standby(part, settings, types, rentals);
     }
 
     void step() {
@@ -103,6 +105,7 @@
                 left = planner.place(job, left);
             }
         }
+        standby.step(wanting, most);
         Set<Machine> needed = new HashSet<>();
         planner.placed().forEach(p -> needed.add(p.slot().machine));
         if (part.rebuilt()) {
@@ -210,6 +213,9 @@
 
     /** How many tasks of a job should run at once, so that its work takes a part of the time it has. */
     private int wantedAtOnce(Job job, MachineType type) {
+        if (!job.spec.shape().ends()) {
+            return job.waitingCount;
+        }
         double run = part.estimates().runS(job);
         double left = part.urgency().leftS(job, out.now.wallMs());
         // What can't be through in time on a machine that has yet to boot gains nothing from haste.
@@ -291,12 +297,25 @@
                 out.log("retired: " + m.id + " has been silent for " + (out.now.steadyMs() - m.answeredAtMs) / 1000 + " s");
                 m.state = Machine.State.DRAINING;
             }
+            if (m.state == Machine.State.DRAINING) {
+                moveReplicas(m);
+            }
+        }
+    }
+
+    /** Replicas never end by themselves: on a machine that is to go they are stopped, and run again elsewhere. */
+    private void moveReplicas(Machine m) {
+        for (Live live : m.tasks.values()) {
+            if (!live.job.spec.shape().ends() && !live.doomed) {
+                live.doomed = true;
+                part.halt(live, 0);
+            }
         }
     }
 
     private void returnIdle(Set<Machine> needed) {
         for (Machine m : part.machines().values()) {
-            if (m.state == Machine.State.UP && m.tasks.isEmpty() && !needed.contains(m) && m.idleSinceMs >= 0
+            if (m.state == Machine.State.UP && m.tasks.isEmpty() && !needed.contains(m) && m.idleSinceMs >= 0 && !standby.needs(m)
                     && out.now.steadyMs() - m.idleSinceMs > (m.spot ? Tuning.IDLE_KEEP_MS : Tuning.IDLE_KEEP_ORDINARY_MS)) {
                 m.state = Machine.State.DRAINING;
                 m.unneeded = true;
--- a/src/main/java/org/shoreusher/core/Holding.java
+++ b/src/main/java/org/shoreusher/core/Holding.java
@@ -131,8 +131,9 @@
         int from = lastChunk;
         for (int i = 1; i <= spilled && writes.size() < Math.min(settings.txnOps(), Tuning.RECORDS_AT_ONCE); i++) {
             int c = 1 + (from + i - 1) % spilled;
-            if (!stored(Keys.done(n, c), records.chunk(c))) {
-                writes.put(Keys.done(n, c), Map.of("done", records.chunk(c)));
+            Map<String, Object> done = records.chunk(c);
+            if (!done.equals(storedDone(c)) || mirror.get(Keys.done(n, c)) == null) {
+                writes.put(Keys.done(n, c), Map.of("done", done));
                 lastChunk = c;
             }
         }
@@ -142,9 +143,17 @@
         });
     }
 
-    private boolean stored(String key, Map<String, Object> done) {
-        Mirror.Entry known = mirror.get(key);
-        return known != null && done.equals(known.value().get("done"));
+    /** The finished tasks in one of the part's records as the view has it; none if there is no such record. */
+    Map<String, Object> storedDone(int chunk) {
+        if (chunk == 0) {
+            return doneInStore();
+        }
+        Mirror.Entry entry = mirror.get(Keys.done(n, chunk));
+        try {
+            return entry == null ? Map.of() : new Tree(entry.value()).map("done").asMap();
+        } catch (Tree.Missing e) {
+            throw new IllegalStateException("a record of finished tasks of this service can't be read: " + e.getMessage());
+        }
     }
 
     private Map<String, Object> doneInStore() {
@@ -173,7 +182,7 @@
                 out.log("renewed: part " + n + " term " + term + " after a lapse, nobody had taken it");
             }
             if (records != null) {
-                records.markDurable(c -> c == 0 || stored(Keys.done(n, c), records.chunk(c)));
+                records.markDurable();
             }
             return;
         }
@@ -255,11 +264,11 @@
      * write is sent; if the write is lost, the lease runs out as after a crash. Beside a renewal in flight it would be
      * refused for the record's version, so it has to wait for that.
      */
-    void release(String why, Map<String, Object> done) {
+    void release(String why, FinishedRecords done) {
         if (renewing) {
             return;
         }
-        PartRecord record = new PartRecord(owner, 0, term, done);
+        PartRecord record = new PartRecord(owner, 0, term, done.chunk(0));
         if (out.renewal(new StateOp.Multi(guards(Keys.part(n), recordVersion), Map.of(Keys.part(n), record.write())), reply -> { })) {
             lose("released: " + why);
         }
--- a/src/main/java/org/shoreusher/core/Job.java
+++ b/src/main/java/org/shoreusher/core/Job.java
@@ -18,8 +18,9 @@
     /** Where each live task is; tasks that are only being hunted down are not here. */
     final Int2ObjectOpenHashMap<Live> live = new Int2ObjectOpenHashMap<>();
     final ObjectOpenHashSet<String> failedOn = new ObjectOpenHashSet<>();
-    /** Which record of finished tasks this job is in, and which of marks. */
-    int chunk = -1;
+    /** Which record of finished tasks each slice of its tasks is in, -1 for none yet; see {@link FinishedRecords}. */
+    int[] chunks = {};
+    /** Which record of marks it is in. */
     int markChunk = -1;
     int waitingCount;
     /** Only tasks below this number may be started: the store says so, hence a taker knows that no other ever was. */
@@ -90,7 +91,7 @@
     }
 
     boolean complete() {
-        return done.cardinality() >= spec.tasks();
+        return spec.shape().ends() && done.cardinality() >= spec.tasks();
     }
 
     boolean paused(long steadyMs) {
@@ -107,6 +108,12 @@
         }
     }
 
+    /** A replica has run for long: what failed before was its machine's fault, or is over. */
+    void steady() {
+        failures = 0;
+        failedOn.clear();
+    }
+
     /** Whether its tasks have failed on several machines and succeeded on none. */
     boolean suspect() {
         return done.isEmpty() && failedOn.size() > 1;
--- a/src/main/java/org/shoreusher/core/Keys.java
+++ b/src/main/java/org/shoreusher/core/Keys.java
@@ -19,6 +19,7 @@
     static final String JOB = "job/";
     static final String MACHINE = "machine/";
     static final String PART = "part/";
+    static final String NODE = "node/";
 
     private Keys() {
     }
@@ -50,10 +51,20 @@
 
     /** The key of the record that a machine is in, together with those whose names differ in the last signs only. */
     static String machine(String id, int valueBytes) {
-        int signs = valueBytes >= Tuning.WIDE_GROUP_BYTES ? 2 : 1;
+        return machine(id, valueBytes >= Tuning.WIDE_GROUP_BYTES);
+    }
+
+    /** The key of its wide group, of a hundred machines at most, or of its narrow one, of ten. */
+    static String machine(String id, boolean wide) {
+        int signs = wide ? 2 : 1;
         return MACHINE + id.substring(0, Math.max(0, id.length() - signs));
     }
 
+    /** The key under which a node says which formats it understands. */
+    static String node(String host) {
+        return NODE + host;
+    }
+
     static String quota(String team) {
         return "quota/" + team;
     }
@@ -111,7 +122,7 @@
         }
 
         static JobRecord open(int part, JobSpec spec, long acceptedMs) {
-            return new JobRecord(part, JobStatus.OPEN, spec.tasks(), acceptedMs, 0, UserFormat.map(spec));
+            return new JobRecord(part, JobStatus.OPEN, spec.tasks(), acceptedMs, 0, UserFormat.description(spec));
         }
 
         JobRecord ended(JobStatus status) {
@@ -120,7 +131,7 @@
 
         JobSpec description() {
             try {
-                return UserFormat.job(new Tree(spec));
+                return UserFormat.described(new Tree(spec));
             } catch (Tree.Missing e) {
                 throw new IllegalStateException("a job description of this service can't be read: " + e.getMessage());
             }
@@ -220,6 +231,9 @@
 
     /** A machine's record: its part; {@code used} is written before the first start. */
     record MachineRecord(int part, String type, String zone, boolean spot, long rentedMs, boolean used) {
+        MachineRecord asUsed() {
+            return new MachineRecord(part, type, zone, spot, rentedMs, true);
+        }
     }
 
     /**
--- a/src/main/java/org/shoreusher/core/MachineIndex.java
+++ b/src/main/java/org/shoreusher/core/MachineIndex.java
@@ -1,14 +1,20 @@
 package org.shoreusher.core;
 
 import it.unimi.dsi.fastutil.objects.Object2ObjectOpenHashMap;
+import java.util.HashSet;
 import java.util.Map;
+import java.util.Set;
 import java.util.function.BiConsumer;
 import org.shoreusher.core.Keys.MachineGroup;
 import org.shoreusher.core.Keys.MachineRecord;
 
-/** Every recorded machine by its name, as this node's view of the store shows it. */
+/**
+ * Every recorded machine by its name, as this node's view of the store shows it. A machine may stand in two groups, a narrow one and a
+ * wide one that an owner with a larger value limit wrote: the narrow one counts, but whether it has been used is true if either says so.
+ */
 final class MachineIndex {
     private final Object2ObjectOpenHashMap<String, MachineRecord> records = new Object2ObjectOpenHashMap<>();
+    private final Object2ObjectOpenHashMap<String, Map<String, MachineRecord>> groups = new Object2ObjectOpenHashMap<>();
 
     /** The machine's record, or null. */
     MachineRecord get(String id) {
@@ -19,23 +25,34 @@
         return records;
     }
 
-    /** A record of several machines has changed; {@code changed} is told of each machine that is new or different in it. */
-    void changed(String key, Mirror.Entry before, Mirror.Entry after, BiConsumer<String, MachineRecord> changed) {
-        Map<String, MachineRecord> now = machines(key, after);
-        machines(key, before).keySet().forEach(id -> {
-            if (!now.containsKey(id)) {
+    /** The machines in the group under a key. */
+    Map<String, MachineRecord> group(String key) {
+        return groups.getOrDefault(key, Map.of());
+    }
+
+    /** A record of several machines has changed; {@code changed} is told of each machine that is new or different by it. */
+    void changed(String key, Mirror.Entry after, BiConsumer<String, MachineRecord> changed) {
+        Map<String, MachineRecord> now = after == null ? Map.of() : MachineGroup.read(key, after.value()).machines();
+        Set<String> touched = new HashSet<>(group(key).keySet());
+        touched.addAll(now.keySet());
+        if (now.isEmpty()) {
+            groups.remove(key);
+        } else {
+            groups.put(key, now);
+        }
+        for (String id : touched) {
+            MachineRecord record = merged(id);
+            if (record == null) {
                 records.remove(id);
-            }
-        });
-        now.forEach((id, record) -> {
-            if (!record.equals(records.put(id, record))) {
+            } else if (!record.equals(records.put(id, record))) {
                 changed.accept(id, record);
             }
-        });
+        }
     }
 
-    /** The machines in an entry of the store. */
-    static Map<String, MachineRecord> machines(String key, Mirror.Entry entry) {
-        return entry == null ? Map.of() : MachineGroup.read(key, entry.value()).machines();
+    private MachineRecord merged(String id) {
+        MachineRecord narrow = group(Keys.machine(id, false)).get(id);
+        MachineRecord wide = group(Keys.machine(id, true)).get(id);
+        return narrow == null ? wide : wide != null && wide.used() ? narrow.asUsed() : narrow;
     }
 }
--- a/src/main/java/org/shoreusher/core/MachineRecords.java
+++ b/src/main/java/org/shoreusher/core/MachineRecords.java
@@ -22,18 +22,22 @@
     private final Outbox out;
     private final Mirror mirror;
     private final MachineIndex index;
+    private final Formats formats;
     private final Holding holding;
     private final Map<String, Machine> machines;
     private final ObjectLinkedOpenHashSet<String> dirty = new ObjectLinkedOpenHashSet<>();
+    /** Wide groups, written under a larger value limit, whose machines move to narrow ones. */
+    private final ObjectLinkedOpenHashSet<String> splitting = new ObjectLinkedOpenHashSet<>();
     private boolean recording;
     private long nextMs;
 
-    MachineRecords(int n, Settings settings, Outbox out, Mirror mirror, MachineIndex index, Holding holding, Map<String, Machine> machines) {
+    MachineRecords(int n, Settings settings, Outbox out, Mirror mirror, MachineIndex index, Formats formats, Holding holding, Map<String, Machine> machines) {
         this.n = n;
         this.settings = settings;
         this.out = out;
         this.mirror = mirror;
         this.index = index;
+        this.formats = formats;
         this.holding = holding;
         this.machines = machines;
     }
@@ -60,7 +64,13 @@
             return null;
         }
         boolean handing = m.state == Machine.State.HANDING;
-        return new MachineRecord(handing ? m.handTo : n, m.type.name(), m.zone, m.spot, m.rentedWallMs, handing || m.used);
+        // An older version would write a wide group beside a narrow one, and read "not used" in the narrow one again later.
+        boolean mixed = narrow() && !formats.services();
+        return new MachineRecord(handing ? m.handTo : n, m.type.name(), m.zone, m.spot, m.rentedWallMs, handing || mixed || m.used);
+    }
+
+    private boolean narrow() {
+        return settings.valueBytes() < Tuning.WIDE_GROUP_BYTES;
     }
 
     /**
@@ -68,9 +78,10 @@
      * gathered, since a few hundred machines that come up within seconds would else take the whole rate of changes.
      */
     void write() {
-        if (recording || dirty.isEmpty() || !holding.holds() || out.now.steadyMs() < nextMs) {
+        if (recording || (dirty.isEmpty() && splitting.isEmpty()) || !holding.holds() || out.now.steadyMs() < nextMs) {
             return;
         }
+        split();
         Map<String, Map<String, MachineRecord>> groups = new LinkedHashMap<>();
         List<String> batch = new ArrayList<>();
         for (String id : dirty) {
@@ -80,7 +91,7 @@
                 if (groups.size() >= Math.max(1, settings.txnOps() / 2)) {
                     continue;
                 }
-                group = new TreeMap<>(MachineIndex.machines(key, mirror.get(key)));
+                group = new TreeMap<>(index.group(key));
                 groups.put(key, group);
             }
             batch.add(id);
@@ -97,11 +108,17 @@
         Map<String, Long> guards = new LinkedHashMap<>(holding.fence());
         Map<String, Map<String, Object>> writes = new LinkedHashMap<>();
         groups.forEach((key, group) -> {
-            if (!group.equals(MachineIndex.machines(key, mirror.get(key)))) {
+            if (!group.equals(index.group(key))) {
                 guards.put(key, mirror.version(key));
                 writes.put(key, MachineGroup.write(key, group));
             }
         });
+        for (String wide : splitting) {
+            if (writes.size() < settings.txnOps() && index.group(wide).keySet().stream().allMatch(this::standsElsewhere)) {
+                guards.put(wide, mirror.version(wide));
+                writes.put(wide, null);
+            }
+        }
         if (writes.isEmpty()) {
             settle(batch);
             return;
@@ -123,6 +140,32 @@
         }
     }
 
+    /** Whether nothing is lost of a machine with its wide group: its narrow one has it, or it is gone. */
+    private boolean standsElsewhere(String id) {
+        return index.group(Keys.machine(id, false)).containsKey(id) || (index.group(Keys.machine(id, true)).get(id).part() == n && !machines.containsKey(id));
+    }
+
+    /**
+     * A machine that changes and stands in a wide group takes the whole group with it, a few narrow ones a write: the wide one
+     * may be longer than can be written again.
+     */
+    private void split() {
+        if (!narrow()) {
+            return;
+        }
+        for (String id : dirty.toArray(new String[0])) {
+            String wide = Keys.machine(id, true);
+            if (index.group(wide).containsKey(id) && splitting.add(wide)) {
+                index.group(wide).forEach((other, record) -> {
+                    if (record.part() == n && machines.containsKey(other)) {
+                        dirty.add(other);
+                    }
+                });
+            }
+        }
+        splitting.removeIf(wide -> index.group(wide).isEmpty());
+    }
+
     /** Takes over what the view now says of machines; what is not yet as wanted is written again. */
     private void settle(List<String> batch) {
         for (String id : batch) {
@@ -135,6 +178,9 @@
                 machines.remove(id);
             } else if (record != null && record.part() != n) {
                 continue;
+            } else if (m == null && record != null && !index.group(Keys.machine(id, settings.valueBytes())).containsKey(id)) {
+                // Gone, and only its wide group still has it, which is on its way out.
+                continue;
             } else if (record == null ? m != null : !record.equals(wanted(id))) {
                 dirty.add(id);
             } else if (m != null) {
--- a/src/main/java/org/shoreusher/core/Node.java
+++ b/src/main/java/org/shoreusher/core/Node.java
@@ -27,6 +27,7 @@
     private final MachineIndex index = new MachineIndex();
     private final Arrivals arrivals;
     private final Types types;
+    private final Formats formats;
     private final Parts parts;
     private final UserDesk desk;
     private final Object2ObjectOpenHashMap<String, Hint> hints = new Object2ObjectOpenHashMap<>();
@@ -52,9 +53,10 @@
         out = new Outbox(settings, count);
         mirror = new Mirror(out, settings, this::changed);
         arrivals = new Arrivals(settings, out, mirror);
-        types = new Types(out, mirror);
-        parts = new Parts(count, settings, out, mirror, arrivals, index, types, this, owner);
-        desk = new UserDesk(settings, out, mirror, arrivals, types, owner, this::counts, this::roomiestPart);
+        types = new Types(settings, out, mirror);
+        formats = new Formats(settings, out, mirror);
+        parts = new Parts(count, settings, out, mirror, arrivals, index, types, formats, this, owner);
+        desk = new UserDesk(settings, out, mirror, arrivals, types, formats, owner, this::counts, this::roomiestPart);
     }
 
     /** Works through a batch; the effects are to be carried out in order, at once. */
@@ -69,6 +71,7 @@
             handle(command);
         }
         mirror.step();
+        formats.step();
         types.step(parts.ownedCount() > 0);
         parts.step();
         desk.step();
@@ -213,7 +216,7 @@
             }
             parts.recordChanged(n, record);
         } else if (key.startsWith(Keys.MACHINE)) {
-            index.changed(key, before, after, this::machineChanged);
+            index.changed(key, after, this::machineChanged);
         } else if (key.equals(Keys.TYPES) && after != null) {
             types.stored(after.value());
         }
--- a/src/main/java/org/shoreusher/core/Part.java
+++ b/src/main/java/org/shoreusher/core/Part.java
@@ -71,7 +71,7 @@
     private long nextStatusMs;
     private long nextPreemptMs;
 
-    Part(int n, int parts, Settings settings, Outbox out, Mirror mirror, Arrivals arrivals, MachineIndex index, Types types, Others others, Holding holding) {
+    Part(int n, int parts, Settings settings, Outbox out, Mirror mirror, Arrivals arrivals, MachineIndex index, Types types, Formats formats, Others others, Holding holding) {
         this.n = n;
         this.parts = parts;
         this.others = others;
@@ -83,7 +83,7 @@
         this.quota = new Quota(n, parts, settings, out, mirror, holding.fence());
         this.arrivals = arrivals;
         this.index = index;
-        this.records = new MachineRecords(n, settings, out, mirror, index, holding, machines);
+        this.records = new MachineRecords(n, settings, out, mirror, index, formats, holding, machines);
         this.urgency = new Urgency(settings, estimates);
         this.fleet = new Fleet(this, settings, out, types);
         this.neighbours = new Neighbours(n, parts, others, jobs, machines);
@@ -132,7 +132,7 @@
 
     /** Gives the part up to another node, unless a renewal is just in flight; then it is lost from here on. */
     void release(String why) {
-        holding.release(why, finished().chunk(0));
+        holding.release(why, finished());
     }
 
     /**
@@ -151,7 +151,7 @@
     }
 
     private FinishedRecords finished() {
-        return FinishedRecords.of(jobs.values(), settings);
+        return FinishedRecords.of(jobs.values(), settings, holding::storedDone);
     }
 
     Estimates estimates() {
@@ -263,6 +263,7 @@
         }
         quota.step(team -> book.cpus(team) + unknownCpus(team), neighbours::claims, neighbours::quantum);
         fleet.step();
+        displace();
         preempt();
         if (out.now.steadyMs() >= nextStatusMs) {
             nextStatusMs = out.now.steadyMs() + Tuning.STATUS_LINE_MS;
@@ -307,11 +308,9 @@
                 addJob(id, record);
             }
         });
-        readDone(PartRecord.read(mirror.get(Keys.part(n)).value()).done(), 0);
+        readDone(holding.storedDone(0), 0);
         for (int c = 1; mirror.get(Keys.done(n, c)) != null; c++) {
-            @SuppressWarnings("unchecked")
-            Map<String, Object> done = (Map<String, Object>) mirror.get(Keys.done(n, c)).value().get("done");
-            readDone(done, c);
+            readDone(holding.storedDone(c), c);
         }
         index.all().forEach((id, record) -> {
             if (record.part() == n) {
@@ -335,8 +334,8 @@
             if (job != null) {
                 BitSet set = TaskRanges.parse((String) ranges);
                 job.done.or(set);
-                job.durable = set;
-                job.chunk = chunk;
+                job.durable.or(set);
+                FinishedRecords.found(job, set, chunk, settings);
             }
         });
     }
@@ -488,6 +487,22 @@
         return list;
     }
 
+    /** Stops batch tasks where replicas of services wait for room; unlike preemption at once, and during a rebuild too. */
+    private void displace() {
+        if (!mayStart()) {
+            return;
+        }
+        List<Job> services = ordered();
+        services.removeIf(job -> job.spec.shape().ends());
+        if (services.isEmpty()) {
+            return;
+        }
+        for (Live live : new Displacement(this, out.now).choose(services)) {
+            live.doomed = true;
+            halt(live, 0);
+        }
+    }
+
     private void preempt() {
         // Until all machines are heard it is what they may hold that binds, and no task that is stopped makes room for that.
         if (out.now.steadyMs() < nextPreemptMs || !rebuilt || !mayStart()) {
--- a/src/main/java/org/shoreusher/core/Parts.java
+++ b/src/main/java/org/shoreusher/core/Parts.java
@@ -1,11 +1,14 @@
 package org.shoreusher.core;
 
+import java.util.BitSet;
 import java.util.LinkedHashMap;
+import java.util.List;
 import java.util.Map;
 import org.shoreusher.core.Effect.StateOp;
 import org.shoreusher.core.Keys.PartRecord;
 import org.shoreusher.settings.Settings;
 import org.shoreusher.settings.Tuning;
+import org.shoreusher.wire.Tree;
 
 /** Takes parts that are free, deals them out evenly, and holds those this node owns. */
 final class Parts {
@@ -24,6 +27,7 @@
     private final Arrivals arrivals;
     private final MachineIndex index;
     private final Types types;
+    private final Formats formats;
     private final String owner;
     private final Peers peers;
     private final Part[] owned;
@@ -33,7 +37,7 @@
     private boolean taking;
     private long nextTakeMs;
 
-    Parts(int count, Settings settings, Outbox out, Mirror mirror, Arrivals arrivals, MachineIndex index, Types types, Peers peers, String owner) {
+    Parts(int count, Settings settings, Outbox out, Mirror mirror, Arrivals arrivals, MachineIndex index, Types types, Formats formats, Peers peers, String owner) {
         this.peers = peers;
         owned = new Part[count];
         first = (int) settings.members().stream().filter(m -> m.host().compareTo(settings.host()) < 0).count() % count;
@@ -44,6 +48,7 @@
         this.arrivals = arrivals;
         this.index = index;
         this.types = types;
+        this.formats = formats;
         this.owner = owner;
     }
 
@@ -128,12 +133,55 @@
         }
     }
 
+    /** The finished tasks of the part's own record that stand in none of its others, cut into records that may be written. */
+    private List<Map<String, Object>> uncovered(int n, PartRecord before) {
+        return FinishedRecords.split(before.done(), settings, id -> {
+            BitSet covered = new BitSet();
+            for (int c = 1; mirror.get(Keys.done(n, c)) != null; c++) {
+                if (mirror.get(Keys.done(n, c)).value().get("done") instanceof Map<?, ?> done && done.get(id) instanceof String ranges) {
+                    covered.or(TaskRanges.parse(ranges));
+                }
+            }
+            return covered;
+        });
+    }
+
+    /**
+     * Copies the finished tasks in a part's record into further ones before the part is taken, if the record is longer than this
+     * version may write it again. The copies are of one version of the record, and true whoever owns the part next.
+     */
+    private void spill(int n, List<Map<String, Object>> pieces) {
+        Map<String, Long> guards = new LinkedHashMap<>(Map.of(Keys.part(n), mirror.version(Keys.part(n))));
+        Map<String, Map<String, Object>> writes = new LinkedHashMap<>();
+        int c = 1;
+        while (mirror.get(Keys.done(n, c)) != null) {
+            c++;
+        }
+        for (int i = 0; i < pieces.size() && i < settings.txnOps(); i++) {
+            guards.put(Keys.done(n, c + i), 0L);
+            writes.put(Keys.done(n, c + i), Map.of("done", pieces.get(i)));
+        }
+        taking = out.renewal(new StateOp.Multi(guards, writes), reply -> {
+            taking = false;
+            if (reply.status() == 200) {
+                mirror.applied(reply, writes);
+                nextTakeMs = out.now.steadyMs();
+            }
+        });
+    }
+
     private void take(int n, PartRecord before) {
         nextTakeMs = out.now.steadyMs() + Tuning.TAKE_PAUSE_MS;
+        boolean tooLong = before != null && Tree.jsonLength(before.write()) > settings.valueBytes() * Tuning.RECORD_FILL;
+        List<Map<String, Object>> pieces = tooLong ? uncovered(n, before) : List.of();
+        if (!pieces.isEmpty()) {
+            spill(n, pieces);
+            return;
+        }
         Mirror.Entry counter = mirror.get(Keys.TERM);
         long term = 1 + (counter == null ? 0 : ((Number) counter.value().get("term")).longValue());
         Reading sentAt = out.now;
-        PartRecord record = new PartRecord(owner, sentAt.wallMs() + PartLease.leaseMs(settings), term, before == null ? Map.of() : before.done());
+        PartRecord record = new PartRecord(owner, sentAt.wallMs() + PartLease.leaseMs(settings), term, before == null || tooLong ? Map.of() : before.done());
         Map<String, Long> guards = new LinkedHashMap<>();
         guards.put(Keys.part(n), mirror.version(Keys.part(n)));
         guards.put(Keys.TERM, mirror.version(Keys.TERM));
@@ -145,7 +193,7 @@
             taking = false;
             if (reply.status() == 200) {
                 long revision = mirror.applied(reply, writes);
-                owned[n] = new Part(n, owned.length, settings, out, mirror, arrivals, index, types, peers, new Holding(n, settings, out, mirror, record, sentAt, revision));
+                owned[n] = new Part(n, owned.length, settings, out, mirror, arrivals, index, types, formats, peers, new Holding(n, settings, out, mirror, record, sentAt, revision));
                 nextTakeMs = out.now.steadyMs();
                 out.log("takeover: part " + n + " term " + term + (before == null ? ", new" : " from " + before.owner()));
             } else if (reply.status() == 409) {
--- a/src/main/java/org/shoreusher/core/Planner.java
+++ b/src/main/java/org/shoreusher/core/Planner.java
@@ -132,7 +132,8 @@
         steps += slots.size();
         // By the share that is free: of two sizes the small ones would else always come before large ones with some room, and these,
         // cheaper by the CPU, would stand nearly empty.
-        slots.forEach(s -> s.rank = (s.cpus + fetchCost(s, spec)) / Math.max(1, s.type.cpus()) + (s.dear ? Tuning.DEAR_LAST : 0));
+        slots.forEach(s -> s.rank = (s.cpus + fetchCost(s, spec)) / Math.max(1, s.type.cpus()) + (s.dear ? Tuning.DEAR_LAST : 0)
+                + (s.machine != null && job.failedOn.contains(s.machine.id) ? Tuning.FAILED_LAST : 0));
         slots.sort(ORDER);
         ZoneRule zones = new ZoneRule(job);
         boolean filled = false;
@@ -192,7 +193,7 @@
     }
 
     /** The rules on zones, given the job's tasks that are or may be on machines. */
-    private static final class ZoneRule {
+    static final class ZoneRule {
         private final Object2IntOpenHashMap<String> used = new Object2IntOpenHashMap<>();
         private final boolean one;
         private final int most;
--- a/src/main/java/org/shoreusher/core/Preemption.java
+++ b/src/main/java/org/shoreusher/core/Preemption.java
@@ -54,7 +54,8 @@
                 teamRelief.put(spec.team(), Math.max(0, -short_));
                 take(spec, short_, spec.team());
             }
-            if (noMachine > 0) {
+            // Replicas of services have room made for them by Displacement.
+            if (noMachine > 0 && spec.shape().ends()) {
                 double short_ = noMachine * spec.cpus() - relief;
                 relief = Math.max(0, -short_);
                 take(spec, short_, null);
--- a/src/main/java/org/shoreusher/core/Reports.java
+++ b/src/main/java/org/shoreusher/core/Reports.java
@@ -156,7 +156,8 @@
         if (!Double.isNaN(m.noticeS)) {
             // The cloud takes the machine soon: what can save its progress does so now and goes on elsewhere.
             for (Live live : m.tasks.values()) {
-                if (live.job.spec.checkpointS() > 0 && live.state == Live.State.RUNNING && live.job.spec.saveS() < m.noticeS) {
+                JobSpec spec = live.job.spec;
+                if (!spec.shape().ends() || (spec.checkpointS() > 0 && live.state == Live.State.RUNNING && spec.saveS() < m.noticeS)) {
                     live.stopping = true;
                 }
             }
@@ -185,6 +186,9 @@
         if (live.state == Live.State.RUNNING && live.runningSinceMs < 0) {
             live.runningSinceMs = out.now.steadyMs();
         }
+        if (!live.job.spec.shape().ends() && live.runningSinceMs >= 0 && out.now.steadyMs() - live.runningSinceMs >= Tuning.STEADY_MS) {
+            live.job.steady();
+        }
     }
 
     /** A job that is cancelled, or unknown: then its tasks are taken to fill the machine. */
@@ -202,6 +206,12 @@
         Live live = m.tasks.get(key);
         boolean ours = live != null && live.attempt == t.attempt();
         Job job = part.jobs().get(t.job());
+        if (job != null && !job.spec.shape().ends()) {
+            if (ours) {
+                replicaEnded(m, job, live, t.cause());
+            }
+            return;
+        }
         if (t.cause() == Cause.DONE) {
             m.failedJobs.clear();
             if (ours && job != null && live.runningSinceMs >= 0) {
@@ -238,6 +248,22 @@
         book.remove(live);
     }
 
+    /** A replica runs again whatever it ended of, soon if it had run for long, ever more rarely if it ends at once again and again. */
+    private void replicaEnded(Machine m, Job job, Live live, Cause cause) {
+        if (cause == Cause.ERROR || cause == Cause.DONE || cause == Cause.UNKNOWN) {
+            if (live.runningSinceMs >= 0 && out.now.steadyMs() - live.runningSinceMs >= Tuning.STEADY_MS) {
+                job.steady();
+            }
+            job.failed(m.id, out.now.steadyMs());
+            if (cause == Cause.ERROR && !job.suspect()) {
+                m.failedJobs.add(job.id);
+            } else if (job.suspect()) {
+                part.machines().values().forEach(other -> other.failedJobs.remove(job.id));
+            }
+        }
+        book.remove(live);
+    }
+
     /** Commands that settle what the report shows: forget what is durable, stop what must not run. */
     private void settle(Machine m, WorkerReport r, List<WorkerOrder> orders) {
         for (TaskReport t : r.tasks()) {
@@ -278,7 +304,7 @@
         }
         Job job = part.jobs().get(t.job());
         if (job != null) {
-            return job.durable.get(t.index());
+            return !job.spec.shape().ends() || job.durable.get(t.index());
         }
         // Done jobs have left the view.
         JobRecord record = arrivals.record(t.job());
--- a/src/main/java/org/shoreusher/core/StartMarks.java
+++ b/src/main/java/org/shoreusher/core/StartMarks.java
@@ -97,7 +97,8 @@
                 writes.put(Keys.job(job.id), record.write());
             }
             int below = Math.min(job.spec.tasks(), Math.max(next, job.startBelow * Tuning.MARK_GROWTH));
-            int chunk = job.markChunk >= 0 ? job.markChunk : chunkWithRoom(chunks, job.id);
+            // A record may be longer than may now be written: what is in it stays there to be read, and the larger mark counts.
+            int chunk = job.markChunk >= 0 && length(marksOf(chunks, job.markChunk)) <= limit() ? job.markChunk : chunkWithRoom(chunks, job.id);
             chunks.computeIfAbsent(chunk, this::open).put(job.id, below);
             marked.add(new Marked(job, chunk, below));
         }
@@ -137,12 +138,20 @@
 
     private int chunkWithRoom(Map<Integer, Map<String, Integer>> chunks, String id) {
         int c = 0;
-        while (length(chunks.containsKey(c) ? chunks.get(c) : open(c)) + length(id) > settings.valueBytes() * Tuning.RECORD_FILL) {
+        while (length(marksOf(chunks, c)) + length(id) > limit()) {
             c++;
         }
         return c;
     }
 
+    private Map<String, Integer> marksOf(Map<Integer, Map<String, Integer>> chunks, int c) {
+        return chunks.containsKey(c) ? chunks.get(c) : open(c);
+    }
+
+    private double limit() {
+        return settings.valueBytes() * Tuning.RECORD_FILL;
+    }
+
     private static int length(Map<String, Integer> marks) {
         return marks.keySet().stream().mapToInt(StartMarks::length).sum();
     }
--- a/src/main/java/org/shoreusher/core/Types.java
+++ b/src/main/java/org/shoreusher/core/Types.java
@@ -7,6 +7,7 @@
 import org.shoreusher.core.Command.CloudReply;
 import org.shoreusher.core.Effect.CloudOp;
 import org.shoreusher.core.Effect.StateOp;
+import org.shoreusher.settings.Settings;
 import org.shoreusher.settings.Tuning;
 import org.shoreusher.wire.CloudFormat;
 import org.shoreusher.wire.Tree;
@@ -16,13 +17,15 @@
  * that restarts while the cloud's interface is down knows them from the state service.
  */
 final class Types {
+    private final Settings settings;
     private final Outbox out;
     private final Mirror mirror;
     private final Object2ObjectOpenHashMap<String, MachineType> types = new Object2ObjectOpenHashMap<>();
     private boolean busy;
     private long nextMs;
 
-    Types(Outbox out, Mirror mirror) {
+    Types(Settings settings, Outbox out, Mirror mirror) {
+        this.settings = settings;
         this.out = out;
         this.mirror = mirror;
     }
@@ -54,7 +57,7 @@
             return;
         }
         nextMs = out.now.steadyMs() + Tuning.FLAVORS_EVERY_MS;
-        boolean first = mirror.get(Keys.TYPES) == null;
+        boolean first = mirror.get(Keys.TYPES) == null && Tree.jsonLength(reply.body()) <= settings.valueBytes();
         if (read(reply.body()) && first) {
             out.state(new StateOp.Multi(Map.of(Keys.TYPES, 0L), Map.of(Keys.TYPES, reply.body())), stored -> { });
         }
--- a/src/main/java/org/shoreusher/core/UserDesk.java
+++ b/src/main/java/org/shoreusher/core/UserDesk.java
@@ -53,6 +53,7 @@
     private final Outbox out;
     private final Mirror mirror;
     private final Types types;
+    private final Formats formats;
     private final CountSource counts;
     private final Arrivals arrivals;
     private final Acceptance acceptance;
@@ -65,11 +66,12 @@
     private int readsInFlight;
     private int working;
 
-    UserDesk(Settings settings, Outbox out, Mirror mirror, Arrivals arrivals, Types types, String owner, CountSource counts, ToIntFunction<JobSpec> roomiestPart) {
+    UserDesk(Settings settings, Outbox out, Mirror mirror, Arrivals arrivals, Types types, Formats formats, String owner, CountSource counts, ToIntFunction<JobSpec> roomiestPart) {
         this.settings = settings;
         this.out = out;
         this.mirror = mirror;
         this.types = types;
+        this.formats = formats;
         this.counts = counts;
         this.arrivals = arrivals;
         acceptance = new Acceptance(settings, out, mirror, owner, roomiestPart, (request, id) -> read(new Question(request, id, record -> {
@@ -138,10 +140,12 @@
     /** 0: can run; 422: never; 503: not known yet. */
     private int verdict(JobSpec spec) {
         Settings.Team team = settings.teams().get(spec.team());
-        if (team == null || spec.cpus() > team.cpusMax() || spec.gpus() > team.gpusMax()) {
+        int atOnce = spec.atLeastAtOnce();
+        if (team == null || spec.cpus() * atOnce > team.cpusMax() || spec.gpus() * atOnce > team.gpusMax()) {
             return 422;
         }
-        if (!types.known()) {
+        // A node from before there were services would run a replica to its end, and call the job done.
+        if (!types.known() || (!spec.shape().ends() && !formats.services())) {
             return 503;
         }
         return types.all().stream().anyMatch(t -> t.fits(spec)) ? 0 : 422;
--- a/src/main/java/org/shoreusher/settings/Settings.java
+++ b/src/main/java/org/shoreusher/settings/Settings.java
@@ -9,7 +9,11 @@
 import java.util.Map;
 import org.shoreusher.wire.Tree;
 
-/** The validated settings file that the platform hands over. Unknown fields are ignored. */
+/**
+ * The validated settings file that the platform hands over. Unknown fields are ignored. Where the file says which limits the
+ * state service will have later, the stricter of both count from the start: nobody tells when the later ones come into force,
+ * and what was written above them by then could not be written again.
+ */
 public record Settings(String host, String zone, Address front, Address back, List<Member> members,
                        Address cloud, Address state, int nodes, List<String> zones,
                        Map<String, Team> teams, List<Objective> objectives, double reportS,
@@ -91,18 +95,26 @@
         List<String> zones = d.texts("zones");
         Tree workers = d.map("workers");
         Tree state = d.map("state");
+        Tree next = state.has("next") ? state.map("next") : new Tree(Map.of());
         Tree cloud = d.map("cloud");
         Settings s = new Settings(root.text("host_name"), root.text("zone"), address(root.text("front"), "front"),
                 address(root.text("back"), "back"), List.copyOf(members), address(ends.text("cloud"), "endpoints.cloud"),
                 address(ends.text("state"), "endpoints.state"), (int) d.number("count"), zones, teams,
                 List.copyOf(objectives), workers.number("report_s"), workers.number("lease_s"), workers.number("cancel_s"),
-                state.number("rps"), state.number("write_rps"), (int) (state.number("value_kb") * 1024),
-                (int) state.number("txn_ops"), cloud.number("rps"), cloud.number("list_lag_s"),
+                stricter(state, next, "rps"), stricter(state, next, "write_rps"), (int) (stricter(state, next, "value_kb") * 1024),
+                (int) stricter(state, next, "txn_ops"), cloud.number("rps"), cloud.number("list_lag_s"),
                 (int) d.map("limits").numberOr("sockets", 1_000), (long) d.number("clock_off_ms"));
         s.check();
         return s;
     }
 
+    private static double stricter(Tree state, Tree next, String field) throws Tree.Missing, Invalid {
+        double now = state.number(field);
+        double later = next.numberOr(field, now);
+        require(later > 0 || !next.has(field), "state.next." + field + " must be above 0");
+        return Math.min(now, later);
+    }
+
     /** "0 means none", of guarantees and of limits alike. Taken for no CPUs at all, it had every job of the team refused for good. */
     private static double limit(Tree team, String field) throws Tree.Missing {
         double limit = team.numberOr(field, 0);
@@ -118,8 +130,8 @@
         require(stateWriteRps > 0, "state.write_rps must be above 0");
         require(cloudRps > 0, "cloud.rps must be above 0");
         require(listLagS >= 0, "cloud.list_lag_s must not be negative");
-        require(txnOps >= 4, "state.txn_ops must be at least 4: a takeover changes three keys");
-        require(valueBytes >= 1024, "state.value_kb must be at least 1");
+        require(txnOps >= 4, "state.txn_ops (also in state.next) must be at least 4: a takeover changes three keys");
+        require(valueBytes >= 1024, "state.value_kb (also in state.next) must be at least 1");
         require(clockOffMs >= 0 && clockOffMs * 4 < Tuning.LEASE_MS, "clock_off_ms must be far below the lease of " + Tuning.LEASE_MS + " ms");
         require(sockets > 2 * Tuning.OWN_SOCKETS, "limits.sockets must be above " + 2 * Tuning.OWN_SOCKETS);
         for (Team t : teams.values()) {
--- a/src/main/java/org/shoreusher/settings/Tuning.java
+++ b/src/main/java/org/shoreusher/settings/Tuning.java
@@ -165,6 +165,8 @@
     public static final int FAULTY_ERRORS = 3;
     /** ms; first pause after a task failed; doubles to FAIL_PAUSE_MAX_MS, for a job that always fails. */
     public static final long FAIL_PAUSE_MS = 1_000;
+    /** ms; a replica that has run for so long did not fail at its start: what failed before is forgotten. */
+    public static final long STEADY_MS = 20_000;
     /** ms; longest such pause. */
     public static final long FAIL_PAUSE_MAX_MS = 30_000;
 
@@ -246,6 +248,8 @@
     public static final double ORDINARY_FACTOR = 1.5;
     /** shares of a machine, more than any can be free: what stands between ordinary machines and spot ones in the order in which they are filled. */
     public static final double DEAR_LAST = 10;
+    /** the same for machines on which tasks of the job have failed: tried after all others. */
+    public static final double FAILED_LAST = 100;
     /** CPUs lacking, as a share of those there, above which dearer ordinary ones are rented too. */
     public static final double ORDINARY_QUEUE = 0.5;
     /** ms; below this age a machine costs its minimum anyway (protocol: 60 s). */
--- a/src/main/java/org/shoreusher/wire/UserFormat.java
+++ b/src/main/java/org/shoreusher/wire/UserFormat.java
@@ -5,10 +5,16 @@
 import java.util.Map;
 import org.shoreusher.core.JobSpec;
 import org.shoreusher.core.JobSpec.Priority;
+import org.shoreusher.core.JobSpec.Shape;
 import org.shoreusher.settings.Tuning;
 
-/** Jobs on the wire. The same map describes a job in the state service. */
+/** Jobs on the wire, and their descriptions in the state service, which are nearly the same. */
 public final class UserFormat {
+    private static final String SWEEP = "sweep";
+    private static final String SERVICE = "service";
+    /** In the state service only: a service is described as a sweep with this mark, since versions from before there were services can't read another shape. */
+    private static final String KEPT_UP = "kept_up";
+
     private UserFormat() {
     }
 
@@ -25,12 +31,22 @@
         return true;
     }
 
-    /** Reads a job; {@link Tree.Missing} says what is wrong with it. */
+    /** Reads a job that a user submits; {@link Tree.Missing} says what is wrong with it. */
     public static JobSpec job(Tree t) throws Tree.Missing {
+        String shape = t.text("shape");
+        // Gangs and other shapes will get their own reading here; none is specified today.
+        need(shape.equals(SWEEP) || shape.equals(SERVICE), "shape must be sweep or service");
+        return job(t, shape.equals(SWEEP) ? Shape.BATCH : Shape.SERVICE);
+    }
+
+    /** Reads a job's description in the state service, as {@link #description} writes it. */
+    public static JobSpec described(Tree t) throws Tree.Missing {
+        return job(t, t.flagOr(KEPT_UP, false) ? Shape.SERVICE : Shape.BATCH);
+    }
+
+    private static JobSpec job(Tree t, Shape shape) throws Tree.Missing {
         String id = t.text("name_id");
         need(isId(id), "name_id must look like wk-000412");
-        // Gangs and other shapes will get their own reading here; none is specified today.
-        need("sweep".equals(t.text("shape")), "shape must be sweep");
         long tasks = t.whole("sheets");
         need(tasks >= 1 && tasks <= Tuning.MAX_TASKS, "sheets must be between 1 and " + Tuning.MAX_TASKS);
         double cpus = amount(t, "cpus");
@@ -38,7 +54,7 @@
         double mem = amount(t, "mem_gb");
         List<String> types = t.has("presses") ? t.texts("presses") : null;
         double deadline = t.has("due_s") ? amount(t, "due_s") : Double.NaN;
-        return new JobSpec(id, t.text("queue"), t.text("crew"), priority(t.text("urgency")), (int) tasks, cpus, gpus, mem,
+        return new JobSpec(id, t.text("queue"), t.text("crew"), shape, priority(t.text("urgency")), (int) tasks, cpus, gpus, mem,
                 t.text("plate"), amount(t, "size_gb"), types, t.textOr("yard", null), t.flag("one_zone"),
                 t.flag("scatter"), t.flag("loaners"), amount(t, "runtime_s"),
                 amount(t, "proof_interval_s"), amount(t, "proof_s"), deadline);
@@ -75,13 +91,25 @@
         };
     }
 
-    /** The job as a map, such that {@link #job} reads it back. */
+    /** The job as its user submits it, such that {@link #job} reads it back. */
     public static Map<String, Object> map(JobSpec j) {
+        Map<String, Object> m = description(j);
+        if (m.remove(KEPT_UP) != null) {
+            m.put("shape", SERVICE);
+        }
+        return m;
+    }
+
+    /** The job as the state service has it, such that {@link #described} reads it back. */
+    public static Map<String, Object> description(JobSpec j) {
         Map<String, Object> m = new LinkedHashMap<>();
         m.put("name_id", j.id());
         m.put("queue", j.jobClass());
         m.put("crew", j.team());
-        m.put("shape", "sweep");
+        m.put("shape", SWEEP);
+        if (!j.shape().ends()) {
+            m.put(KEPT_UP, true);
+        }
         m.put("urgency", text(j.priority()));
         m.put("sheets", (long) j.tasks());
         m.put("cpus", j.cpus());
--- /dev/null
+++ b/src/test/java/org/shoreusher/model/ReplicaTest.java
@@ -0,0 +1,123 @@
+package org.shoreusher.model;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.ArrayList;
+import java.util.List;
+import net.jqwik.api.Example;
+import org.shoreusher.core.JobSpec;
+import org.shoreusher.core.WorkerReport.Cause;
+import org.shoreusher.core.WorkerReport.TaskReport;
+import org.shoreusher.core.WorkerReport.TaskState;
+
+/** What an owner does with the replicas of services. */
+class ReplicaTest {
+    private final SingleNode node = new SingleNode();
+    private int seq = 1;
+
+    private static JobSpec service(String id, int replicas, double cpus) {
+        return new JobSpec(id, "gate", "team-0", JobSpec.Shape.SERVICE, JobSpec.Priority.PRODUCTION, replicas, cpus, 0, 1, "img", 1, null, null, false, false, true,
+                0, 0, 0, Double.NaN);
+    }
+
+    private void machine() {
+        node.left("host-1");
+        node.steps(40);
+        node.report("host-1", seq++, 5);
+        node.steps(3);
+        node.report("host-1", seq++, 6);
+        node.steps(3);
+    }
+
+    private List<String> started(TaskReport... tasks) {
+        List<String> started = node.startsOf("host-1", seq++, 6, tasks);
+        node.steps(3);
+        return started;
+    }
+
+    private static TaskReport replica(int n, long attempt, TaskState state, Cause cause) {
+        return new TaskReport("wk-1", n, (6L << 24) + attempt, state, cause);
+    }
+
+    /** A replica that ends, even with done, runs again under a new attempt; the job is never done, and its worker may forget it at once. */
+    @Example
+    void aReplicaThatEndsRunsAgain() {
+        machine();
+        assertEquals(201, node.submit(service("wk-1", 1, 2)));
+        List<String> first = new ArrayList<>();
+        while (first.isEmpty() && seq < 20) {
+            first.addAll(started());
+        }
+        assertEquals(List.of("wk-1/0"), first);
+        started(replica(0, 1, TaskState.RUNNING, Cause.NONE));
+        assertEquals("running", node.ask("wk-1"));
+        for (int i = 0; i < 20; i++) {
+            node.steps(20);
+            assertEquals(List.of(), started(replica(0, 1, TaskState.RUNNING, Cause.NONE)));
+        }
+        List<String> orders = node.report("host-1", seq++, 6, replica(0, 1, TaskState.EXITED, Cause.DONE));
+        assertTrue(orders.contains("forget"), () -> "orders " + orders);
+        List<String> again = new ArrayList<>(orders.contains("run") ? List.of("wk-1/0") : List.of());
+        for (int i = 0; again.isEmpty() && i < 30; i++) {
+            again.addAll(started());
+        }
+        assertEquals(List.of("wk-1/0"), again);
+        assertEquals("running", node.ask("wk-1"));
+    }
+
+    /** A replica that fails at once again and again is tried ever more rarely. */
+    @Example
+    void aReplicaThatAlwaysFailsIsTriedEverMoreRarely() {
+        machine();
+        node.submit(service("wk-1", 1, 2));
+        int starts = 0;
+        long attempt = 0;
+        boolean there = false;
+        for (int i = 0; i < 400; i++) {
+            List<String> started = there ? started(replica(0, attempt, TaskState.EXITED, Cause.ERROR)) : started();
+            there = !started.isEmpty();
+            attempt += started.size();
+            starts += started.size();
+        }
+        int all = starts;
+        // In 96 s: with pauses of 1, 2, 4, 8, 16 and 30 s.
+        assertTrue(all >= 4 && all <= 12, () -> "starts " + all);
+    }
+
+    /** Batch tasks of lower priority give way at once when a replica finds no room; the replica takes the place as soon as it is free. */
+    @Example
+    void batchWorkGivesWayToReplicas() {
+        machine();
+        node.openJob("wk-2", 4, 2);
+        List<String> batch = new ArrayList<>();
+        while (batch.isEmpty() && seq < 20) {
+            batch.addAll(started());
+        }
+        assertEquals(4, batch.size());
+        TaskReport[] running = new TaskReport[4];
+        for (int i = 0; i < 4; i++) {
+            running[i] = new TaskReport("wk-2", i, (6L << 24) + 1 + i, TaskState.RUNNING, Cause.NONE);
+        }
+        assertFalse(node.report("host-1", seq++, 6, running).contains("halt"));
+        assertEquals(201, node.submit(service("wk-1", 1, 2)));
+        node.steps(4);
+        List<String> orders = node.report("host-1", seq++, 6, running);
+        assertEquals(1, orders.stream().filter(v -> v.equals("halt")).count(), () -> "one of them is enough: " + orders);
+        node.steps(3);
+        running[0] = new TaskReport("wk-2", 0, (6L << 24) + 1, TaskState.EXITED, Cause.STOPPED);
+        TaskReport[] all = running;
+        List<String> next = new ArrayList<>();
+        for (int stopped = 0; stopped < 4; stopped++) {
+            TaskReport[] seen = all.clone();
+            for (int i = 0; i < 4; i++) {
+                seen[i] = new TaskReport("wk-2", i, (6L << 24) + 1 + i, i == stopped ? TaskState.EXITED : TaskState.RUNNING, i == stopped ? Cause.STOPPED : Cause.NONE);
+            }
+            if (next.isEmpty()) {
+                next.addAll(started(seen));
+            }
+        }
+        assertEquals(List.of("wk-1/0"), next, "not another batch task");
+    }
+}
--- a/src/test/java/org/shoreusher/model/UserModel.java
+++ b/src/test/java/org/shoreusher/model/UserModel.java
@@ -1,6 +1,8 @@
 package org.shoreusher.model;
 
+import java.util.ArrayList;
 import java.util.LinkedHashMap;
+import java.util.List;
 import java.util.Map;
 import java.util.function.BiConsumer;
 import java.util.function.LongFunction;
@@ -46,6 +48,34 @@
         this.world = world;
     }
 
+    /** Whether the job's tasks end by themselves. */
+    boolean ends(String job) {
+        Wish w = wishes.get(job);
+        return w == null || w.spec.shape().ends();
+    }
+
+    /** A service of some replicas, which its user may call off after a while. */
+    void submitService(int number, long at, int replicas, boolean cancels) {
+        JobSpec spec = new JobSpec(String.format("wk-%06d", number), "gate", "team-" + number % world.settings.teams().size(), JobSpec.Shape.SERVICE,
+                JobSpec.Priority.PRODUCTION, replicas, 1, 0, 1, "img-0", 1, null, null, false, true, false, 0, 0, 0, Double.NaN);
+        submit(new Wish(spec, cancels, 1_000), at);
+    }
+
+    /** Services that nobody called off and of which not every replica runs. */
+    List<String> servicesDown() {
+        List<String> down = new ArrayList<>();
+        for (Wish w : wishes.values()) {
+            if (!w.spec.shape().ends() && !w.cancelAsked) {
+                for (int i = 0; i < w.spec.tasks(); i++) {
+                    if (!w.accepted || !world.rules.runs(w.spec.id() + "/" + i)) {
+                        down.add(w.spec.id() + "/" + i);
+                    }
+                }
+            }
+        }
+        return down;
+    }
+
     long runMs(String job) {
         Wish w = wishes.get(job);
         return w == null ? 1_000 : w.runMs / 2 + world.random.nextInt((int) w.runMs);
--- a/src/test/java/org/shoreusher/model/WorkerModel.java
+++ b/src/test/java/org/shoreusher/model/WorkerModel.java
@@ -307,6 +307,13 @@
         t.state = TaskState.RUNNING;
         world.rules.on(this, name);
         change();
+        if (!world.users.ends(t.job)) {
+            // A replica; a few end all the same, failed or not.
+            if (world.random.nextInt(6) == 0) {
+                world.in(world.random.nextInt(40_000), () -> progress(name, t, () -> exit(name, t, world.random.nextBoolean() ? Cause.ERROR : Cause.DONE)));
+            }
+            return;
+        }
         long duration = results.containsKey(name) ? 1 : world.users.runMs(t.job);
         world.in(duration, () -> progress(name, t, () -> {
             if (world.random.nextInt(60) == 0) {
--- a/src/test/java/org/shoreusher/settings/SettingsTest.java
+++ b/src/test/java/org/shoreusher/settings/SettingsTest.java
@@ -5,6 +5,7 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.nio.charset.StandardCharsets;
+import java.util.List;
 import net.jqwik.api.Example;
 
 class SettingsTest {
@@ -53,4 +54,22 @@
             assertTrue(e.getMessage().contains(c[2]), e.getMessage());
         }
     }
+
+    /** Limits to come count from the start where they are stricter, and only there; absent or null they change nothing. */
+    @Example
+    void limitsToComeCountFromTheStart() throws Settings.Invalid {
+        String ops = "\"txn_ops\":20";
+        Settings s = parse(GOOD.replace(ops, ops + ",\"next\":{\"write_rps\":18.0,\"value_kb\":2.0,\"txn_ops\":6}"));
+        assertEquals(List.of(18.0, 200.0), List.of(s.stateWriteRps(), s.stateRps()));
+        assertEquals(List.of(2048, 6), List.of(s.valueBytes(), s.txnOps()));
+        Settings wider = parse(GOOD.replace(ops, ops + ",\"next\":{\"write_rps\":180.0,\"value_kb\":64,\"txn_ops\":60,\"new\":1}"));
+        assertEquals(parse(GOOD), wider);
+        assertEquals(parse(GOOD), parse(GOOD.replace(ops, ops + ",\"next\":null")));
+        String[][] wrong = {{"{\"write_rps\":0}", "state.next.write_rps"}, {"{\"value_kb\":-2}", "state.next.value_kb"}, {"{\"value_kb\":0.5}", "state.next"},
+            {"{\"txn_ops\":3}", "state.next"}, {"{\"txn_ops\":\"6\"}", "txn_ops"}, {"7", "next"}};
+        for (String[] w : wrong) {
+            Settings.Invalid e = assertThrows(Settings.Invalid.class, () -> parse(GOOD.replace(ops, ops + ",\"next\":" + w[0])));
+            assertTrue(e.getMessage().contains(w[1]), e.getMessage());
+        }
+    }
 }
