--- a/src/main/java/org/shoreusher/core/Displacement.java
+++ b/src/main/java/org/shoreusher/core/Displacement.java
@@ -91,7 +91,8 @@
                         continue;
                     }
                     List<Live> victims = victims(room, spec);
-                    double loss = victims == null ? Double.MAX_VALUE : victims.stream().mapToDouble(this::loss).sum();
+                    double fetchS = m.images.contains(spec.image()) ? 0 : spec.imageGb() / Math.max(Tuning.LEAST_FETCH, m.type.fetchGbPerS());
+                    double loss = victims == null ? Double.MAX_VALUE : victims.stream().mapToDouble(this::loss).sum() + spec.cpus() * fetchS;
                     if (loss < leastLoss) {
                         best = room;
                         least = victims;
--- a/src/main/java/org/shoreusher/core/Standby.java
+++ b/src/main/java/org/shoreusher/core/Standby.java
@@ -69,7 +69,7 @@
         return false;
     }
 
-    /** CPUs to keep in each zone: for half of the largest service, and as much as one machine may lose. */
+    /** CPUs to keep in each zone: for what may come while a machine boots, halves of the largest service, and as much as one machine may lose. */
     private double wanted(MachineType type) {
         double largest = 0;
         for (Job job : part.jobs().values()) {
@@ -79,6 +79,6 @@
         }
         // Before the first one an aim tells that work comes which must begin sooner than a machine boots.
         boolean expected = settings.objectives().stream().anyMatch(o -> o.kind().equals("wait") && o.withinS() < type.bootS());
-        return largest > 0 ? largest + type.cpus() / 2 : expected ? type.cpus() : 0;
+        return largest > 0 ? Tuning.STANDBY_SERVICES * largest + type.cpus() : expected ? Tuning.STANDBY_SERVICES * type.cpus() : 0;
     }
 }
