--- a/src/main/java/org/shoreusher/core/Standby.java
+++ b/src/main/java/org/shoreusher/core/Standby.java
@@ -79,6 +79,6 @@
         }
         // Before the first one an aim tells that work comes which must begin sooner than a machine boots.
         boolean expected = settings.objectives().stream().anyMatch(o -> o.kind().equals("wait") && o.withinS() < type.bootS());
-        return largest > 0 ? Tuning.STANDBY_SERVICES * largest + type.cpus() : expected ? Tuning.STANDBY_SERVICES * type.cpus() : 0;
+        return largest > 0 ? Tuning.STANDBY_SERVICES * largest + type.cpus() : expected ? Math.max(type.cpus(), Tuning.STANDBY_FIRST_CPUS) : 0;
     }
 }
--- a/src/main/java/org/shoreusher/settings/Tuning.java
+++ b/src/main/java/org/shoreusher/settings/Tuning.java
@@ -244,8 +244,10 @@
     public static final long IDLE_KEEP_MS = 20_000;
     /** ms; the same for an ordinary machine, which costs more to keep. */
     public static final long IDLE_KEEP_ORDINARY_MS = 5_000;
-    /** halves of the largest service, or machines before the first one, for which ordinary room is kept in each zone: so many come in the time of a boot. */
+    /** halves of the largest service for which ordinary room is kept in each zone: so many come in the time of a boot. */
     public static final int STANDBY_SERVICES = 2;
+    /** CPUs kept so before the first service, whose size nobody knows: two of eight replicas. */
+    public static final double STANDBY_FIRST_CPUS = 16;
     /** times the spot price up to which an ordinary machine is as good as a spot one. */
     public static final double ORDINARY_FACTOR = 1.5;
     /** shares of a machine, more than any can be free: what stands between ordinary machines and spot ones in the order in which they are filled. */
