--- a/src/main/java/org/shoreusher/settings/Tuning.java
+++ b/src/main/java/org/shoreusher/settings/Tuning.java
@@ -245,7 +245,7 @@
     /** ms; the same for an ordinary machine, which costs more to keep. */
     public static final long IDLE_KEEP_ORDINARY_MS = 5_000;
     /** halves of the largest service for which ordinary room is kept in each zone: so many come in the time of a boot. */
-    public static final int STANDBY_SERVICES = 2;
+    public static final int STANDBY_SERVICES = 3;
     /** CPUs kept so before the first service, whose size nobody knows: two of eight replicas. */
     public static final double STANDBY_FIRST_CPUS = 16;
     /** times the spot price up to which an ordinary machine is as good as a spot one. */
