--- a/src/main/java/org/shoreusher/core/Part.java
+++ b/src/main/java/org/shoreusher/core/Part.java
@@ -215,9 +215,9 @@
 
     /**
      * Whether reports may be answered. Not with a view so old that a cancellation it lacks would not come true in time: an
-     * owner may renew its lease again and again while nothing of what others write reaches it. The grace after a lapse is for an outage that all share. If the state service
-     * answers another node, that one takes the part, and every answer given here would only keep the worker from it.
-     * A taker relies on this: it need not wait for a grace that it has not agreed to.
+     * owner may renew its lease again and again while nothing of what others write reaches it. The grace after a lapse is
+     * for an outage that all share. If the state service answers another node, that one takes the part, and every answer
+     * given here would only keep the worker from it. A taker relies on this: it need not wait for a grace that it has not agreed to.
      */
     boolean mayAnswer() {
         return !lost() && loaded && mirror.ageMs() < PartLease.answerableViewMs(settings)
@@ -489,14 +489,11 @@
 
     /** Stops batch tasks where replicas of services wait for room; unlike preemption at once, and during a rebuild too. */
     private void displace() {
-        if (!mayStart()) {
+        if (!mayStart() || jobs.values().stream().allMatch(job -> job.spec.shape().ends() || job.waitingCount == 0)) {
             return;
         }
         List<Job> services = ordered();
         services.removeIf(job -> job.spec.shape().ends());
-        if (services.isEmpty()) {
-            return;
-        }
         for (Live live : new Displacement(this, out.now).choose(services)) {
             live.doomed = true;
             halt(live, 0);
