--- a/src/test/java/org/shoreusher/model/FormerFormatsTest.java
+++ b/src/test/java/org/shoreusher/model/FormerFormatsTest.java
@@ -94,7 +94,11 @@
                 assertNotNull(node.report("host-000205", 1, 5), "a machine of its records");
                 // Now its record changes, which takes the group apart where it is too long.
                 assertEquals(List.of(), node.report("host-000265", 1, 6));
-                node.steps(300);
+                for (int step = 0; step < 300; step++) {
+                    node.steps(1);
+                    assertEquals(70, node.state().all("machine/").entrySet().stream().flatMap(g -> ((Map<?, ?>) g.getValue().get("machines")).keySet().stream()
+                            .map(sign -> g.getKey() + sign)).distinct().count(), () -> "a machine stood in no group for a while, " + limits);
+                }
                 Map<String, Map<String, Object>> machines = node.state().all("machine/");
                 assertEquals(valueBytes < 6_000, machines.size() > 1 && !machines.containsKey("machine/host-0002"), () -> machines.keySet() + limits);
                 assertEquals(70, machines.values().stream().mapToInt(g -> ((Map<?, ?>) g.get("machines")).size()).sum(), limits);
