--- a/src/test/java/org/shoreusher/model/ClusterModelTest.java
+++ b/src/test/java/org/shoreusher/model/ClusterModelTest.java
@@ -36,6 +36,13 @@
                 400, 100, 4096, 12, 10, 3, 1000, 80);
     }
 
+    /** The same under other limits of the state service. */
+    static Settings limits(double writeRps, int valueBytes, int txnOps) {
+        Settings s = settings();
+        return new Settings(s.host(), s.zone(), s.front(), s.back(), s.members(), s.cloud(), s.state(), s.nodes(), s.zones(), s.teams(), s.objectives(),
+                s.reportS(), s.workerLeaseS(), s.cancelS(), s.stateRps(), writeRps, valueBytes, txnOps, s.cloudRps(), s.listLagS(), s.sockets(), s.clockOffMs());
+    }
+
     /**
      * Five nodes in four zones, a state service of few requests and changes with the shortest transactions allowed or twice those, a
      * team without bounds, and machines of two sizes.
--- a/src/test/java/org/shoreusher/model/FormerFormatsTest.java
+++ b/src/test/java/org/shoreusher/model/FormerFormatsTest.java
@@ -35,9 +35,7 @@
     }
 
     private static Settings limits(int valueBytes, int txnOps) {
-        Settings s = ClusterModelTest.settings();
-        return new Settings(s.host(), s.zone(), s.front(), s.back(), s.members(), s.cloud(), s.state(), s.nodes(), s.zones(), s.teams(), s.objectives(),
-                s.reportS(), s.workerLeaseS(), s.cancelS(), s.stateRps(), s.stateWriteRps(), valueBytes, txnOps, s.cloudRps(), s.listLagS(), s.sockets(), s.clockOffMs());
+        return ClusterModelTest.limits(ClusterModelTest.settings().stateWriteRps(), valueBytes, txnOps);
     }
 
     @SuppressWarnings("unchecked")
--- a/src/test/java/org/shoreusher/model/ServicesTest.java
+++ b/src/test/java/org/shoreusher/model/ServicesTest.java
@@ -20,12 +20,6 @@
     private static final long QUIET_MS = 220_000;
     private static final long END_MS = 400_000;
 
-    private static Settings limits(double writeRps, int valueBytes, int txnOps) {
-        Settings s = ClusterModelTest.settings();
-        return new Settings(s.host(), s.zone(), s.front(), s.back(), s.members(), s.cloud(), s.state(), s.nodes(), s.zones(), s.teams(), s.objectives(),
-                s.reportS(), s.workerLeaseS(), s.cancelS(), s.stateRps(), writeRps, valueBytes, txnOps, s.cloudRps(), s.listLagS(), s.sockets(), s.clockOffMs());
-    }
-
     private static void submit(World w, long from) {
         for (int i = 0; i < 34; i++) {
             w.users.submit(i, 1_000 + w.random.nextInt(120_000));
@@ -66,7 +60,7 @@
     @Property(tries = 40, seed = "77", shrinking = ShrinkingMode.OFF)
     void anUpgradeToSmallerLimitsKeepsTheRules(@ForAll @LongRange(min = 0, max = 1_000_000) long seed) {
         int ops = seed % 2 == 0 ? 4 : 6;
-        World w = new World(seed, limits(60, seed % 3 == 0 ? 1_024 : 2_048, ops), limits(100, 8_192, 12), 1, Sabotage.NONE, 8);
+        World w = new World(seed, ClusterModelTest.limits(60, seed % 3 == 0 ? 1_024 : 2_048, ops), ClusterModelTest.limits(100, 8_192, 12), 1, Sabotage.NONE, 8);
         submit(w, 90_000);
         long from = 20_000 + w.random.nextInt(20_000);
         int first = w.random.nextInt(3);
@@ -93,7 +87,7 @@
     @Example
     void aTakerCutsUpRecordsThatAreTooLong() {
         Map<String, Settings.Team> teams = Map.of("team-0", new Settings.Team("team-0", 1_000, 2_000, 0, 0));
-        Settings s = limits(40, 2_048, 4);
+        Settings s = ClusterModelTest.limits(40, 2_048, 4);
         Settings strict = new Settings(s.host(), s.zone(), s.front(), s.back(), s.members(), s.cloud(), s.state(), s.nodes(), s.zones(), teams, s.objectives(), 2, 12, 40,
                 s.stateRps(), s.stateWriteRps(), s.valueBytes(), s.txnOps(), s.cloudRps(), s.listLagS(), s.sockets(), s.clockOffMs());
         Settings former = new Settings(s.host(), s.zone(), s.front(), s.back(), s.members(), s.cloud(), s.state(), s.nodes(), s.zones(), teams, s.objectives(), 2, 12, 40,
--- a/src/test/java/org/shoreusher/net/ConnectionsTest.java
+++ b/src/test/java/org/shoreusher/net/ConnectionsTest.java
@@ -55,10 +55,7 @@
     @Example
     void theConnectionLongestQuietMakesRoom() throws Exception {
         NioEventLoopGroup group = new NioEventLoopGroup(1);
-        int port;
-        try (ServerSocket free = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
-            port = free.getLocalPort();
-        }
+        int port = freePort();
         FrontServer front = new FrontServer(group, settings(port, Tuning.OWN_SOCKETS + 2), command -> true, () -> 0L);
         front.listen();
         try (Socket first = new Socket(InetAddress.getLoopbackAddress(), port); Socket second = new Socket(InetAddress.getLoopbackAddress(), port)) {
@@ -80,10 +77,7 @@
     @Example
     void aBodyThatIsTooLongIsMalformed() throws Exception {
         NioEventLoopGroup group = new NioEventLoopGroup(1);
-        int port;
-        try (ServerSocket free = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
-            port = free.getLocalPort();
-        }
+        int port = freePort();
         new FrontServer(group, settings(port, Tuning.OWN_SOCKETS + 2), command -> true, () -> 0L).listen();
         try (Socket socket = new Socket(InetAddress.getLoopbackAddress(), port)) {
             socket.setSoTimeout(20_000);
@@ -96,6 +90,12 @@
         }
     }
 
+    private static int freePort() throws Exception {
+        try (ServerSocket free = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+            return free.getLocalPort();
+        }
+    }
+
     private static int ask(Socket socket) throws Exception {
         socket.setSoTimeout(20_000);
         socket.getOutputStream().write("GET /nothing HTTP/1.1\r\nhost: x\r\n\r\n".getBytes(StandardCharsets.US_ASCII));
