Machine lists of more pages than a burst of calls are read whole

Cause: a page for which there was no cloud token ended the list, and the next one began anew. At 4,000 machines a list has eight pages, a burst at 4 to 7 calls a second fewer: no list was ever complete, so machines that were gone counted for ever and strays were never taken on. Change: the list keeps its place and asks for the page again in the next step. Result: aListLongerThanABurstOfCallsIsReadWhole fails with the class as it was and passes now.

--- a/src/main/java/org/shoreusher/core/MachineList.java
+++ b/src/main/java/org/shoreusher/core/MachineList.java
@@ -6,6 +6,7 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Set;
+import org.shoreusher.core.Command.CloudReply;
 import org.shoreusher.core.Command.ListPage;
 import org.shoreusher.core.Command.Listed;
 import org.shoreusher.core.Effect.CloudOp;
@@ -34,7 +35,19 @@
     private final ObjectLinkedOpenHashSet<String> gone = new ObjectLinkedOpenHashSet<>();
 
     private long nextListMs;
-    private boolean listing;
+
+    /** The list that is being read; null between two lists. */
+    private Reading reading;
+
+    private boolean awaitingReply;
+
+    /** The pages of a list read so far. {@code askedAt}: when the first was asked for. */
+    private record Reading(ClockReading askedAt, List<Listed> machines) {
+        /** The last machine so far, behind which the next page begins; null for the first page. */
+        String lastName() {
+            return machines.isEmpty() ? null : machines.get(machines.size() - 1).id();
+        }
+    }
 
     MachineList(Part part, Settings settings, Outbox out, MachineTypes types) {
         this.part = part;
@@ -59,44 +72,47 @@
         return listed.contains(id);
     }
 
+    /**
+     * Asks for the next page when it is due. A page for which there is no token is asked for again
+     * in the next step: at 4,000 machines a list has more pages than a second's burst of calls, and
+     * one that began anew each time would never be read whole.
+     */
     void step() {
-        if (listing || out.now.steadyMs() < nextListMs) {
+        if (awaitingReply) {
             return;
         }
-        readList(null, out.now, new ArrayList<>());
+        if (reading == null) {
+            if (out.now.steadyMs() < nextListMs) {
+                return;
+            }
+            reading = new Reading(out.now, new ArrayList<>());
+        }
+        awaitingReply = out.cloud(new CloudOp.Listing(reading.lastName()), this::replied);
     }
 
-    private void readList(String after, ClockReading askedAt, List<Listed> soFar) {
-        listing =
-                out.cloud(
-                        new CloudOp.Listing(after),
-                        reply -> {
-                            listing = false;
-                            // A rebuild waits for machines that are gone, until a list no longer
-                            // shows them.
-                            nextListMs =
-                                    out.now.steadyMs()
-                                            + (part.rebuilt()
-                                                    ? Tuning.LIST_EVERY_MS
-                                                    : Tuning.LIST_IN_REBUILD_MS);
-                            if (reply.status() != 200 || part.lost()) {
-                                return;
-                            }
-                            try {
-                                ListPage page = CloudFormat.machines(new FieldMap(reply.body()));
-                                soFar.addAll(page.machines());
-                                if (page.more() && !page.machines().isEmpty()) {
-                                    readList(
-                                            page.machines().get(page.machines().size() - 1).id(),
-                                            askedAt,
-                                            soFar);
-                                } else {
-                                    listed(soFar, askedAt);
-                                }
-                            } catch (FieldMap.Missing e) {
-                                out.log("cloud: machine list not understood: " + e.getMessage());
-                            }
-                        });
+    private void replied(CloudReply reply) {
+        awaitingReply = false;
+        Reading current = reading;
+        // A rebuild waits for machines that are gone, until a list no longer shows them.
+        nextListMs =
+                out.now.steadyMs()
+                        + (part.rebuilt() ? Tuning.LIST_EVERY_MS : Tuning.LIST_IN_REBUILD_MS);
+        reading = null;
+        if (reply.status() != 200 || part.lost()) {
+            return;
+        }
+        try {
+            ListPage page = CloudFormat.machines(new FieldMap(reply.body()));
+            current.machines().addAll(page.machines());
+            if (page.more() && !page.machines().isEmpty()) {
+                reading = current;
+                step();
+            } else {
+                listed(current.machines(), current.askedAt());
+            }
+        } catch (FieldMap.Missing e) {
+            out.log("cloud: machine list not understood: " + e.getMessage());
+        }
     }
 
     private void listed(List<Listed> all, ClockReading askedAt) {
--- a/src/test/java/org/shoreusher/model/FleetTest.java
+++ b/src/test/java/org/shoreusher/model/FleetTest.java
@@ -10,6 +10,7 @@
 import net.jqwik.api.Example;
 import org.shoreusher.core.Command;
 import org.shoreusher.core.Effect.CloudOp;
+import org.shoreusher.settings.SettingsBuilder;
 
 /** What an owner rents, keeps and returns. */
 class FleetTest {
@@ -154,6 +155,63 @@
                 () -> "returned after " + (at[0] - from - 600_000));
     }
 
+    /**
+     * A list of 4,200 machines has more pages than the cloud takes calls in a burst; it is read
+     * whole all the same. Begun anew at each page without a token it never was, and machines that
+     * were gone counted for ever.
+     */
+    @Example
+    void aListLongerThanABurstOfCallsIsReadWhole() {
+        SingleNode owner =
+                new SingleNode(new SettingsBuilder(ModelSettings.usual()).cloudRps(4).build());
+        List<String> pages = new ArrayList<>();
+        owner.cloud =
+                op -> {
+                    if (!(op instanceof CloudOp.Listing listing)) {
+                        return new Command.CloudReply(0, 0, null);
+                    }
+                    pages.add(String.valueOf(listing.after()));
+                    return page(listing.after(), 4_200);
+                };
+        owner.left("host-9");
+        for (int i = 0; i < 600 && !gone(owner, "host-9"); i++) {
+            owner.steps(1);
+        }
+        assertTrue(gone(owner, "host-9"), () -> "pages asked for: " + pages);
+        assertEquals(
+                List.of("null", "host-000500", "host-001000"),
+                pages.subList(0, 3),
+                "in the order of the names");
+    }
+
+    private static boolean gone(SingleNode owner, String machine) {
+        return owner.log.stream().anyMatch(line -> line.startsWith("gone: " + machine));
+    }
+
+    /** A page of 500 machines out of so many. */
+    private static Command.CloudReply page(String after, int machines) {
+        int first = after == null ? 1 : 1 + Integer.parseInt(after.substring("host-".length()));
+        int last = Math.min(machines, first + 499);
+        List<Object> boxes = new ArrayList<>();
+        for (int i = first; i <= last; i++) {
+            boxes.add(
+                    Map.of(
+                            "name_id",
+                            String.format("host-%06d", i),
+                            "press",
+                            CloudModel.TYPE,
+                            "yard",
+                            "a",
+                            "loaners",
+                            true,
+                            "status",
+                            "running",
+                            "age_s",
+                            100.0));
+        }
+        return new Command.CloudReply(0, 200, Map.of("boxes", boxes, "more", last < machines));
+    }
+
     private static Map<String, Object> type(
             String name, double cpus, double price, double spotPrice) {
         return Map.of(
