A generated world of 4,000 machines; limits that grow with the deployment

Need: the service runs at about 4,000 machines; no fixed limit may stand below that. Change: the queue of commands holds one of each connection; 20,000 names of gone machines; machines are counted for the question whether workers left only when some have. The model's cloud lists in pages, its rules keep sums in place of a walk over all tasks at each start (Usage).

--- a/src/main/java/org/shoreusher/cli/Service.java
+++ b/src/main/java/org/shoreusher/cli/Service.java
@@ -31,8 +31,7 @@
     private final Node node;
     private final NioEventLoopGroup group = new NioEventLoopGroup(1);
     private final EventLoop loop = group.next();
-    private final ManyToOneConcurrentArrayQueue<Command> queue =
-            new ManyToOneConcurrentArrayQueue<>(Tuning.QUEUE);
+    private final ManyToOneConcurrentArrayQueue<Command> queue;
     private final List<Command> batch = new ArrayList<>(Tuning.BATCH);
     private final StateClient state;
     private final CloudClient cloud;
@@ -46,6 +45,7 @@
     /** Connects the core to its adapters; nothing is sent before the loop runs. */
     public Service(Settings settings, String owner) {
         this.settings = settings;
+        queue = new ManyToOneConcurrentArrayQueue<>(Math.max(Tuning.QUEUE, settings.sockets()));
         node = new Node(settings, owner, Tuning.PARTS);
         state = new StateClient(loop, settings, this::mustTake);
         cloud = new CloudClient(loop, settings, this::mustTake);
--- a/src/main/java/org/shoreusher/core/Part.java
+++ b/src/main/java/org/shoreusher/core/Part.java
@@ -163,11 +163,16 @@
                 || out.now.steadyMs() - ownership.sinceMs() < Tuning.COMES_BACK_MS) {
             return false;
         }
+        // Asked in every batch, so machines are counted only when some have come to others.
+        int cameBack = others.cameBack(n);
+        if (cameBack <= 1) {
+            return false;
+        }
         int up = 0;
         for (Machine m : machines.values()) {
             up += m.state == Machine.State.UP ? 1 : 0;
         }
-        return others.cameBack(n) > Math.max(1, up * Tuning.UNREACHED_SHARE);
+        return cameBack > Math.max(1, up * Tuning.UNREACHED_SHARE);
     }
 
     private FinishedRecords finished() {
--- a/src/main/java/org/shoreusher/settings/Tuning.java
+++ b/src/main/java/org/shoreusher/settings/Tuning.java
@@ -292,9 +292,9 @@
 
     /**
      * names of machines that are gone which an owner remembers, so that late copies of their
-     * reports bring none back.
+     * reports bring none back; 6,000 machines replaced three times within minutes, some 2 MB.
      */
-    public static final int GONE_NAMES = 10_000;
+    public static final int GONE_NAMES = 20_000;
 
     /**
      * ms; a machine taken for gone that lists still show after this, far beyond their lag, is there
@@ -560,7 +560,10 @@
     /** calls in flight per target; more are failed at once. */
     public static final int POOL_BUSY = 64;
 
-    /** commands that may wait for the core; more are refused. */
+    /**
+     * commands that may wait for the core, at the least; more are refused. With more sockets than
+     * that it is one of each connection, of which none has two requests open.
+     */
     public static final int QUEUE = 4_096;
 
     /** commands per batch; bounds the time between two clock readings. */
--- a/src/test/java/org/shoreusher/model/CloudModel.java
+++ b/src/test/java/org/shoreusher/model/CloudModel.java
@@ -19,13 +19,21 @@
     static final String LARGE = "large";
     static final double LARGE_CPUS = 32;
 
+    /** Machines in a page of a list. */
+    private static final int PAGE = 500;
+
+    /** ms between the moments that lists describe. */
+    private static final long LIST_EVERY_MS = 500;
+
     private final World world;
     private final int capacity;
     private final TreeMap<String, WorkerModel> machines = new TreeMap<>();
+    private final Map<String, WorkerModel> byAddress = new HashMap<>();
     private final TreeMap<Long, List<Object>> lists = new TreeMap<>();
     private final Map<String, Map<String, Object>> hires = new HashMap<>();
     private long outageUntil;
     private int named;
+    private int mostMachines;
 
     /** Whether machines are up within two seconds. */
     boolean quickBoots;
@@ -48,15 +56,18 @@
         return new ArrayList<>(machines.values());
     }
 
+    /** The most machines that were rented at one time. */
+    int mostMachines() {
+        return mostMachines;
+    }
+
     WorkerModel byAddress(String address) {
-        return machines.values().stream()
-                .filter(w -> w.address().equals(address))
-                .findFirst()
-                .orElse(null);
+        return byAddress.get(address);
     }
 
     void take(WorkerModel w) {
         machines.remove(w.id);
+        byAddress.remove(w.address());
         w.destroy();
     }
 
@@ -73,7 +84,30 @@
             list.add(m);
         }
         lists.put(world.now, list);
-        world.in(500, this::snapshot);
+        lists.headMap(world.now - 2 * listLagMs() - LIST_EVERY_MS).clear();
+        world.in(LIST_EVERY_MS, this::snapshot);
+    }
+
+    private long listLagMs() {
+        return (long) (world.settings.listLagS() * 1000);
+    }
+
+    /** A page of a list that may be older than that of the page before. */
+    private Map<String, Object> page(String after) {
+        long lag = (long) (listLagMs() * 2 * world.random.nextDouble());
+        List<Object> list = lists.floorEntry(Math.max(0, world.now - lag)).getValue();
+        int first = 0;
+        while (after != null
+                && first < list.size()
+                && name(list.get(first)).compareTo(after) <= 0) {
+            first++;
+        }
+        int last = Math.min(list.size(), first + PAGE);
+        return Map.of("boxes", list.subList(first, last), "more", last < list.size());
+    }
+
+    private static String name(Object listed) {
+        return (String) ((Map<?, ?>) listed).get("name_id");
     }
 
     void handle(CloudOp op, World.Reply reply) {
@@ -81,10 +115,8 @@
             reply.answer(503, Map.of("error", "trouble"));
         } else if (op instanceof CloudOp.Types) {
             reply.answer(200, Map.of("presses", types()));
-        } else if (op instanceof CloudOp.Listing) {
-            long lag = (long) (world.settings.listLagS() * 1000 * 2 * world.random.nextDouble());
-            Map.Entry<Long, List<Object>> e = lists.floorEntry(Math.max(0, world.now - lag));
-            reply.answer(200, Map.of("boxes", e.getValue(), "more", false));
+        } else if (op instanceof CloudOp.Listing listing) {
+            reply.answer(200, page(listing.after()));
         } else if (op instanceof CloudOp.Return back) {
             for (String id : back.machines()) {
                 WorkerModel w = machines.get(id);
@@ -167,6 +199,7 @@
             WorkerModel w =
                     new WorkerModel(world, id, rent.type(), rent.zone(), rent.spot(), named);
             machines.put(id, w);
+            byAddress.put(w.address(), w);
             names.add(id);
             if (world.random.nextInt(12) > 0) {
                 world.in(
@@ -176,6 +209,7 @@
                         w::boot);
             }
         }
+        mostMachines = Math.max(mostMachines, machines.size());
         Map<String, Object> answer = Map.of("boxes", names);
         hires.put(rent.name(), answer);
         reply.answer(200, answer);
--- a/src/test/java/org/shoreusher/model/ModelSettings.java
+++ b/src/test/java/org/shoreusher/model/ModelSettings.java
@@ -78,4 +78,14 @@
                 .clockOffMs(25)
                 .build();
     }
+
+    /** Teams that fill 4,000 machines of 8 CPUs between them. */
+    static Settings largest() {
+        return new SettingsBuilder(large())
+                .teams(
+                        new Settings.Team("team-0", 8_000, 24_000, 0, 0),
+                        new Settings.Team("team-1", 8_000, 24_000, 0, 0))
+                .sockets(9_000)
+                .build();
+    }
 }
--- a/src/test/java/org/shoreusher/model/Rules.java
+++ b/src/test/java/org/shoreusher/model/Rules.java
@@ -16,6 +16,7 @@
 
     private final World world;
     private final Map<String, WorkerModel> on = new HashMap<>();
+    private final Usage usage = new Usage();
     private final Set<String> completed = new HashSet<>();
     final List<String> violations = new ArrayList<>();
 
@@ -50,23 +51,15 @@
         WorkerModel other = on.put(task, machine);
         if (other != null) {
             broken("ran_twice", task + " on " + machine.id + " while on " + other.id);
+            usage.count(w.spec, other.zone, -1);
         }
         JobSpec spec = w.spec;
+        usage.count(spec, machine.zone, 1);
         startsAfterCancel += w.cancelTold ? 1 : 0;
-        double used = 0;
-        double usedGpus = 0;
-        int inZone = 0;
-        int ofJob = 0;
-        for (Map.Entry<String, WorkerModel> e : on.entrySet()) {
-            UserModel.Wish o =
-                    world.users.wishes.get(e.getKey().substring(0, e.getKey().indexOf('/')));
-            used += o.spec.team().equals(spec.team()) ? o.spec.cpus() : 0;
-            usedGpus += o.spec.team().equals(spec.team()) ? o.spec.gpus() : 0;
-            if (o == w) {
-                ofJob++;
-                inZone += e.getValue().zone.equals(machine.zone) ? 1 : 0;
-            }
-        }
+        double used = usage.cpus(spec.team());
+        double usedGpus = usage.gpus(spec.team());
+        int inZone = usage.tasksInZone(job, machine.zone);
+        int ofJob = usage.tasks(job);
         if (used > world.settings.teams().get(spec.team()).cpusMax()
                 || usedGpus > world.settings.teams().get(spec.team()).gpusMax()) {
             broken("quota", spec.team() + " uses " + used + " CPUs, " + usedGpus + " GPUs");
@@ -88,6 +81,8 @@
     void off(WorkerModel machine, String task) {
         if (on.get(task) == machine) {
             on.remove(task);
+            JobSpec spec = world.users.wishes.get(task.substring(0, task.indexOf('/'))).spec;
+            usage.count(spec, machine.zone, -1);
             checkCancelled(task, world.users.wishes.get(task.substring(0, task.indexOf('/'))));
         }
     }
