Stand-ins are a package of their own; workers share an event loop, keep leases, save and fetch

Need: measurements with thousands of workers on loopback; a thread for each worker does not go that far.

--- a/src/main/java/org/shoreusher/cli/ServiceRehearsal.java
+++ b/src/main/java/org/shoreusher/cli/ServiceRehearsal.java
@@ -1,12 +1,22 @@
 package org.shoreusher.cli;
 
+import io.netty.channel.nio.NioEventLoopGroup;
 import java.io.IOException;
 import java.net.InetAddress;
 import java.net.ServerSocket;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.concurrent.TimeUnit;
 import java.util.function.BooleanSupplier;
+import org.shoreusher.settings.Settings;
+import org.shoreusher.standin.CloudStandIn;
+import org.shoreusher.standin.ControllerClient;
+import org.shoreusher.standin.JobProfile;
+import org.shoreusher.standin.StandInServer;
+import org.shoreusher.standin.StateStandIn;
+import org.shoreusher.standin.TaskHistory;
+import org.shoreusher.standin.WorkerStandIn;
 
 /**
  * What a new user would try: a batch job runs to its end, a service is submitted, its machine is
@@ -22,6 +32,9 @@
     private static final long STEP_MS = 20_000;
     private static final long POLL_MS = 50;
     private static final int BATCH_JOBS = 5;
+    private static final int MACHINES = 50;
+    private static final long REPORT_MS = 300;
+    private static final long LEASE_MS = 2_000;
 
     private static final String SETTINGS =
             """
@@ -40,8 +53,20 @@
     private final int front = freePort();
     private final int back = freePort();
     private final ControllerClient controller = new ControllerClient(front);
+    private final NioEventLoopGroup workers = new NioEventLoopGroup(1);
+    private final WorkerStandIn.Environment environment =
+            new WorkerStandIn.Environment(
+                    workers.next(),
+                    Map.of("rehearsal", new Settings.Address("127.0.0.1", front)),
+                    REPORT_MS,
+                    LEASE_MS,
+                    job -> job.equals(SERVICE) ? JobProfile.SERVICE : JobProfile.INSTANT,
+                    new TaskHistory());
     private final CloudStandIn machines =
-            new CloudStandIn(identity -> new WorkerStandIn(identity, controller));
+            new CloudStandIn(
+                    new CloudStandIn.Offer(4, 8, 1, List.of("z")),
+                    MACHINES,
+                    identity -> new WorkerStandIn(identity, environment));
     private final StandInServer cloud = new StandInServer(machines::handle);
     private final StateStandIn store = new StateStandIn();
     private final StandInServer state = new StandInServer(store::handle);
@@ -154,6 +179,7 @@
     @Override
     public void close() {
         machines.stop();
+        workers.shutdownGracefully(0, 0, TimeUnit.MILLISECONDS);
         controller.close();
         cloud.close();
         state.close();
--- a/src/main/java/org/shoreusher/net/HttpCaller.java
+++ b/src/main/java/org/shoreusher/net/HttpCaller.java
@@ -23,6 +23,7 @@
 import io.netty.handler.codec.http.HttpVersion;
 import io.netty.util.concurrent.ScheduledFuture;
 import java.util.ArrayDeque;
+import java.util.List;
 import java.util.Map;
 import java.util.concurrent.TimeUnit;
 import org.shoreusher.settings.Settings.Address;
@@ -119,6 +120,12 @@
                 });
     }
 
+    /** Closes the connections that no call uses. */
+    public void closeIdle() {
+        // A connection that closes takes itself off the list.
+        List.copyOf(idle).forEach(line -> line.channel.close());
+    }
+
     /** A call in flight, ended once: by its answer, a failure or its timeout. */
     private final class Call {
         private final Answer answer;
--- /dev/null
+++ b/src/main/java/org/shoreusher/standin/CloudStandIn.java
@@ -0,0 +1,143 @@
+package org.shoreusher.standin;
+
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import java.util.function.Function;
+import org.shoreusher.standin.StandInServer.Request;
+import org.shoreusher.standin.StandInServer.Response;
+import org.shoreusher.wire.FieldMap;
+
+/** A small cloud in memory with one type of machine, whose workers run as soon as it is rented. */
+public final class CloudStandIn {
+    private static final String TYPE = "p";
+    private static final String FIRST_MACHINE = "";
+
+    /** What the cloud offers. */
+    public record Offer(double cpus, double memoryGb, double fetchGbPerS, List<String> zones) {}
+
+    /** Machines by name; each has a worker. */
+    private final TreeMap<String, WorkerStandIn> machines = new TreeMap<>();
+
+    private final TreeMap<String, List<Object>> rentals = new TreeMap<>();
+    private final Offer offer;
+    private final int capacity;
+    private final Function<WorkerStandIn.Identity, WorkerStandIn> workers;
+    private int rented;
+
+    /**
+     * @param capacity machines that there are at most
+     * @param workers starts the worker of a new machine
+     */
+    public CloudStandIn(
+            Offer offer, int capacity, Function<WorkerStandIn.Identity, WorkerStandIn> workers) {
+        this.offer = offer;
+        this.capacity = capacity;
+        this.workers = workers;
+    }
+
+    /** Answers one request. */
+    public synchronized Response handle(Request request) throws FieldMap.Missing {
+        return switch (request.line()) {
+            case "GET /flavors" -> Response.ok(Map.of("presses", List.of(type())));
+            case "POST /rentals" -> rent(request.body());
+            case "POST /rentals/return" -> giveBack(request.body());
+            default -> Response.ok(page(request.query()));
+        };
+    }
+
+    private Map<String, Object> type() {
+        Map<String, Object> type = new LinkedHashMap<>();
+        type.put("sku", TYPE);
+        type.put("cpus", offer.cpus());
+        type.put("mem_gb", offer.memoryGb());
+        type.put("pull_gb_per_s", offer.fetchGbPerS());
+        type.put("rate", 1.0);
+        type.put("low_price", 0.5);
+        type.put("ready_s", 1.0);
+        type.put("yards", offer.zones());
+        return type;
+    }
+
+    private Response rent(FieldMap body) throws FieldMap.Missing {
+        String name = body.text("hire");
+        if (!rentals.containsKey(name)) {
+            long count = Math.min(body.whole("number"), capacity - machines.size());
+            if (count <= 0) {
+                return new Response(503, Map.of("error", "no capacity"));
+            }
+            rentals.put(name, start(count, body.text("yard"), body.flag("loaners")));
+        }
+        return Response.ok(Map.of("boxes", rentals.get(name)));
+    }
+
+    private List<Object> start(long count, String zone, boolean spot) {
+        List<Object> names = new ArrayList<>();
+        for (long i = 0; i < count; i++) {
+            String id = String.format("host-%06d", ++rented);
+            machines.put(id, workers.apply(new WorkerStandIn.Identity(id, TYPE, zone, spot)));
+            names.add(id);
+        }
+        return names;
+    }
+
+    private Response giveBack(FieldMap body) throws FieldMap.Missing {
+        for (String id : body.texts("boxes")) {
+            take(id);
+        }
+        return Response.ok(Map.of());
+    }
+
+    /** Takes a machine away at once, with all that runs on it. */
+    public synchronized void take(String id) {
+        WorkerStandIn worker = machines.remove(id);
+        if (worker != null) {
+            worker.stop();
+        }
+    }
+
+    /** Ends all workers. */
+    public synchronized void stop() {
+        machines.values().forEach(WorkerStandIn::stop);
+    }
+
+    /** The machines that there are, in the order of their names. */
+    public synchronized List<WorkerStandIn> workers() {
+        return new ArrayList<>(machines.values());
+    }
+
+    /** The machine that runs a task; null if none does. */
+    public synchronized String machineOf(String task) {
+        return machines.entrySet().stream()
+                .filter(e -> e.getValue().runs(task))
+                .map(Map.Entry::getKey)
+                .findFirst()
+                .orElse(null);
+    }
+
+    private Map<String, Object> page(Map<String, String> query) {
+        String after = query.getOrDefault("after", FIRST_MACHINE);
+        int most = Integer.parseInt(query.getOrDefault("most", "500"));
+        List<Object> list = new ArrayList<>();
+        for (WorkerStandIn worker : machines.tailMap(after, false).values()) {
+            if (list.size() == most) {
+                return Map.of("boxes", list, "more", true);
+            }
+            list.add(listed(worker.identity()));
+        }
+        return Map.of("boxes", list, "more", false);
+    }
+
+    private static Map<String, Object> listed(WorkerStandIn.Identity identity) {
+        Map<String, Object> listed = new LinkedHashMap<>();
+        listed.put("name_id", identity.id());
+        listed.put("press", identity.type());
+        listed.put("yard", identity.zone());
+        listed.put("loaners", identity.spot());
+        listed.put("status", "running");
+        listed.put("age_s", 1.0);
+        return listed;
+    }
+}
--- a/src/main/java/org/shoreusher/cli/ControllerClient.java
+++ b/src/main/java/org/shoreusher/standin/ControllerClient.java
@@ -1,4 +1,4 @@
-package org.shoreusher.cli;
+package org.shoreusher.standin;
 
 import io.netty.channel.nio.NioEventLoopGroup;
 import java.util.Map;
@@ -10,21 +10,22 @@
 import org.shoreusher.settings.Settings;
 
 /** Calls a controller and waits for the answer; safe for use by several threads. */
-final class ControllerClient implements AutoCloseable {
+public final class ControllerClient implements AutoCloseable {
     private static final long TIMEOUT_MS = 2_000;
 
     /** An answer; status 0 if there was none. */
-    record Reply(int status, Map<String, Object> body) {}
+    public record Reply(int status, Map<String, Object> body) {}
 
     private final NioEventLoopGroup group = new NioEventLoopGroup(1);
     private final HttpCaller caller;
 
-    ControllerClient(int port) {
+    /** Calls the controller whose front listens on this port of loopback. */
+    public ControllerClient(int port) {
         caller = new HttpCaller(group.next(), new Settings.Address("127.0.0.1", port));
     }
 
     /** A GET without a body, else a POST. */
-    Reply call(String path, Map<String, Object> body) throws InterruptedException {
+    public Reply call(String path, Map<String, Object> body) throws InterruptedException {
         CompletableFuture<Reply> reply = new CompletableFuture<>();
         if (group.isShuttingDown()) {
             return new Reply(0, null);
--- a/src/main/java/org/shoreusher/cli/StandInServer.java
+++ b/src/main/java/org/shoreusher/standin/StandInServer.java
@@ -1,4 +1,4 @@
-package org.shoreusher.cli;
+package org.shoreusher.standin;
 
 import com.sun.net.httpserver.HttpExchange;
 import com.sun.net.httpserver.HttpServer;
@@ -11,10 +11,10 @@
 import java.util.concurrent.Executors;
 import org.shoreusher.wire.FieldMap;
 
-/** An HTTP server on loopback for the stand-ins of a rehearsal; each request has a thread. */
-final class StandInServer implements AutoCloseable {
+/** An HTTP server on loopback for the stand-ins; each request has a thread. */
+public final class StandInServer implements AutoCloseable {
     /** A request; the body is empty where there is none. */
-    record Request(String method, String path, Map<String, String> query, FieldMap body) {
+    public record Request(String method, String path, Map<String, String> query, FieldMap body) {
         /** Method and path, such as "POST /multi". */
         String line() {
             return method + " " + path;
@@ -22,28 +22,31 @@
     }
 
     /** An answer. */
-    record Response(int status, Map<String, Object> body) {
+    public record Response(int status, Map<String, Object> body) {
         static Response ok(Map<String, Object> body) {
             return new Response(200, body);
         }
     }
 
     /** Answers requests, from several threads at once. */
-    interface Handler {
+    public interface Handler {
+        /** Answers one request. */
         Response handle(Request request) throws FieldMap.Missing, InterruptedException;
     }
 
     private final HttpServer server;
     private final ExecutorService threads = Executors.newCachedThreadPool();
 
-    StandInServer(Handler handler) throws IOException {
+    /** Listens on a free port from now on. */
+    public StandInServer(Handler handler) throws IOException {
         server = HttpServer.create(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0), 0);
         server.createContext("/", exchange -> answer(handler, exchange));
         server.setExecutor(threads);
         server.start();
     }
 
-    int port() {
+    /** The port it listens on. */
+    public int port() {
         return server.getAddress().getPort();
     }
 
--- a/src/main/java/org/shoreusher/cli/StateStandIn.java
+++ b/src/main/java/org/shoreusher/standin/StateStandIn.java
@@ -1,16 +1,16 @@
-package org.shoreusher.cli;
+package org.shoreusher.standin;
 
 import java.util.ArrayList;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.TreeMap;
-import org.shoreusher.cli.StandInServer.Request;
-import org.shoreusher.cli.StandInServer.Response;
+import org.shoreusher.standin.StandInServer.Request;
+import org.shoreusher.standin.StandInServer.Response;
 import org.shoreusher.wire.FieldMap;
 
 /** A small state service in memory: keys with versions, transactions and watches, no limits. */
-final class StateStandIn {
+public final class StateStandIn {
     private static final String KEY_PATH = "/store/";
 
     /** A stored value with its version. */
@@ -23,7 +23,9 @@
     private final List<Change> changes = new ArrayList<>();
     private long revision = 1;
 
-    synchronized Response handle(Request request) throws FieldMap.Missing, InterruptedException {
+    /** Answers one request. */
+    public synchronized Response handle(Request request)
+            throws FieldMap.Missing, InterruptedException {
         if (request.line().equals("POST /multi")) {
             return transaction(request.body());
         }
@@ -83,11 +85,11 @@
             }
         }
         List<Object> log = new ArrayList<>();
-        for (Change change : changes) {
-            if (change.revision() > after) {
-                log.add(event(change));
-            }
+        int first = changes.size();
+        while (first > 0 && changes.get(first - 1).revision() > after) {
+            first--;
         }
+        changes.subList(first, changes.size()).forEach(change -> log.add(event(change)));
         return Response.ok(Map.of("ledger", revision, "log", log));
     }
 
--- /dev/null
+++ b/src/main/java/org/shoreusher/standin/WorkerStandIn.java
@@ -0,0 +1,378 @@
+package org.shoreusher.standin;
+
+import io.netty.channel.EventLoop;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Random;
+import java.util.Set;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Function;
+import org.shoreusher.net.HttpCaller;
+import org.shoreusher.settings.Settings;
+import org.shoreusher.wire.FieldMap;
+
+/**
+ * A worker on loopback: it reports to one controller at a time, follows redirections, keeps its
+ * lease and session, and runs what it is told as the jobs' profiles say. Thousands of them share
+ * one event loop.
+ */
+public final class WorkerStandIn {
+    private static final long PATIENCE_MS = 4_000;
+    private static final long RETRY_MS = 1_000;
+    private static final long SOONEST_REPORT_MS = 500;
+    private static final double REPORT_SPREAD = 0.25;
+    private static final int CONNECTIONS = 1;
+
+    /** A machine's name, type, zone and kind. */
+    public record Identity(String id, String type, String zone, boolean spot) {}
+
+    /**
+     * What the workers of a run share.
+     *
+     * @param controllers the front address of each controller by its host name
+     * @param profiles how the tasks of a job behave
+     */
+    public record Environment(
+            EventLoop loop,
+            Map<String, Settings.Address> controllers,
+            long reportMs,
+            long leaseMs,
+            Function<String, JobProfile> profiles,
+            TaskHistory history) {}
+
+    private enum State {
+        FETCHING("pulling"),
+        RUNNING("running"),
+        SAVING("flushing"),
+        EXITED("exited");
+
+        private final String shown;
+
+        State(String shown) {
+            this.shown = shown;
+        }
+    }
+
+    private static final class Task {
+        private final String name;
+        private final long attempt;
+        private final JobProfile profile;
+        private State state = State.FETCHING;
+        private String cause;
+        private double startedAtProgressS;
+        private long runningSinceNs;
+
+        Task(String name, long attempt, JobProfile profile) {
+            this.name = name;
+            this.attempt = attempt;
+            this.profile = profile;
+        }
+
+        double progressS() {
+            return startedAtProgressS + (System.nanoTime() - runningSinceNs) / 1e9;
+        }
+
+        /** Progress that the task has saved by itself so far. */
+        double savedS() {
+            return profile.saveEveryS() <= 0
+                    ? 0
+                    : Math.max(
+                            startedAtProgressS,
+                            Math.floor(progressS() / profile.saveEveryS()) * profile.saveEveryS());
+        }
+    }
+
+    private final Identity identity;
+    private final Environment environment;
+    private final Random random;
+    private final List<String> hosts;
+    private final Map<String, HttpCaller> callers = new HashMap<>();
+    private final Map<String, Task> tasks = new LinkedHashMap<>();
+    private final Set<String> images = new HashSet<>();
+    private final Set<String> fetching = new HashSet<>();
+    private int target;
+    private long session = 1;
+    private long sequence;
+    private long token;
+    private long leaseFromNs = System.nanoTime();
+    private long reportedAtNs;
+    private boolean inFlight;
+    private boolean changed;
+    private volatile boolean stopped;
+
+    /** Begins to report. */
+    public WorkerStandIn(Identity identity, Environment environment) {
+        this.identity = identity;
+        this.environment = environment;
+        random = new Random(identity.id().hashCode());
+        hosts = environment.controllers().keySet().stream().sorted().toList();
+        target = random.nextInt(hosts.size());
+        after(random.nextInt((int) SOONEST_REPORT_MS), this::report);
+    }
+
+    /** Its machine's name and kind. */
+    public Identity identity() {
+        return identity;
+    }
+
+    /** The machine is gone, with all that is on it. */
+    public synchronized void stop() {
+        stopped = true;
+        endTasks();
+    }
+
+    synchronized boolean runs(String task) {
+        return !stopped && tasks.containsKey(task) && tasks.get(task).state != State.EXITED;
+    }
+
+    private void after(double ms, Runnable action) {
+        environment
+                .loop()
+                .schedule(() -> unlessStopped(action), Math.round(ms), TimeUnit.MILLISECONDS);
+    }
+
+    private synchronized void unlessStopped(Runnable action) {
+        if (!stopped) {
+            checkLease();
+            action.run();
+        }
+    }
+
+    private void checkLease() {
+        if (System.nanoTime() - leaseFromNs
+                > TimeUnit.MILLISECONDS.toNanos(environment.leaseMs())) {
+            endTasks();
+            session++;
+            leaseFromNs = System.nanoTime();
+        }
+    }
+
+    private void endTasks() {
+        tasks.values().forEach(this::interrupted);
+        tasks.clear();
+    }
+
+    private void interrupted(Task task) {
+        if (task.state == State.RUNNING || task.state == State.SAVING) {
+            environment.history().ended(task.name, identity.id(), task.progressS(), task.savedS());
+        }
+    }
+
+    // ---- reports -----------------------------------------------------------------------------
+
+    private void report() {
+        if (inFlight) {
+            return;
+        }
+        inFlight = true;
+        changed = false;
+        reportedAtNs = System.nanoTime();
+        long sentNs = reportedAtNs;
+        long ofSession = session;
+        caller().call(
+                        "/hello",
+                        body(),
+                        PATIENCE_MS,
+                        (status, answer) ->
+                                unlessStopped(() -> answered(status, answer, sentNs, ofSession)));
+    }
+
+    private HttpCaller caller() {
+        return callers.computeIfAbsent(
+                hosts.get(target),
+                host ->
+                        new HttpCaller(
+                                environment.loop(),
+                                environment.controllers().get(host),
+                                CONNECTIONS));
+    }
+
+    private void answered(int status, Map<String, Object> answer, long sentNs, long ofSession) {
+        inFlight = false;
+        if (status == 200) {
+            accepted(new FieldMap(answer), sentNs, ofSession);
+            scheduleReport();
+            return;
+        }
+        caller().closeIdle();
+        String elsewhere = status == 421 && answer != null ? (String) answer.get("foreman") : null;
+        int named = elsewhere == null ? -1 : hosts.indexOf(elsewhere);
+        if (named >= 0 && named != target) {
+            target = named;
+            after(random.nextInt((int) SOONEST_REPORT_MS), this::report);
+        } else {
+            target = (target + 1) % hosts.size();
+            after(RETRY_MS, this::report);
+        }
+    }
+
+    private void scheduleReport() {
+        double spread = 1 - REPORT_SPREAD + 2 * REPORT_SPREAD * random.nextDouble();
+        long number = sequence;
+        after(
+                changed ? SOONEST_REPORT_MS : environment.reportMs() * spread,
+                () -> {
+                    if (number == sequence) {
+                        report();
+                    }
+                });
+    }
+
+    /** Reports soon, though never more often than the protocol allows. */
+    private void change() {
+        changed = true;
+        if (!inFlight) {
+            double sinceMs = (System.nanoTime() - reportedAtNs) / 1e6;
+            long number = sequence;
+            after(
+                    Math.max(0, SOONEST_REPORT_MS - sinceMs),
+                    () -> {
+                        if (number == sequence) {
+                            report();
+                        }
+                    });
+        }
+    }
+
+    private Map<String, Object> body() {
+        List<Object> shown = new ArrayList<>();
+        tasks.values().forEach(task -> shown.add(shown(task)));
+        Map<String, Object> report = new LinkedHashMap<>();
+        report.put("box", identity.id());
+        // Nothing listens there: direct commands are lost, as behind a cut.
+        report.put("addr", "127.0.0.1:1");
+        report.put("press", identity.type());
+        report.put("yard", identity.zone());
+        report.put("loaners", identity.spot());
+        report.put("shift", session);
+        report.put("tally", ++sequence);
+        report.put("baton", token);
+        report.put("sheets", shown);
+        return report;
+    }
+
+    private static Map<String, Object> shown(Task task) {
+        Map<String, Object> shown = new LinkedHashMap<>();
+        shown.put("sheet", task.name);
+        shown.put("try", task.attempt);
+        shown.put("status", task.state.shown);
+        if (task.cause != null) {
+            shown.put("cause", task.cause);
+        }
+        return shown;
+    }
+
+    // ---- orders ------------------------------------------------------------------------------
+
+    private void accepted(FieldMap answer, long sentNs, long ofSession) {
+        try {
+            if (ofSession != session || answer.whole("baton") < token) {
+                return;
+            }
+            token = answer.whole("baton");
+            leaseFromNs = Math.max(leaseFromNs, sentNs);
+            for (FieldMap order : answer.list("orders")) {
+                carryOut(order);
+            }
+        } catch (FieldMap.Missing e) {
+            throw new IllegalStateException("an answer to a report: " + e.getMessage());
+        }
+    }
+
+    private void carryOut(FieldMap order) throws FieldMap.Missing {
+        String name = order.text("sheet");
+        long attempt = order.whole("try");
+        Task present = tasks.get(name);
+        switch (order.text("verb")) {
+            case "run" -> {
+                if (present == null) {
+                    start(name, attempt);
+                }
+            }
+            case "halt" -> {
+                if (present != null && present.attempt == attempt) {
+                    halt(present, order.numberOr("wind_down_s", 0));
+                }
+            }
+            default -> {
+                if (present != null && present.attempt == attempt) {
+                    tasks.remove(name);
+                }
+            }
+        }
+    }
+
+    private void start(String name, long attempt) {
+        JobProfile profile = environment.profiles().apply(name.substring(0, name.indexOf('/')));
+        Task task = new Task(name, attempt, profile);
+        tasks.put(name, task);
+        change();
+        if (images.contains(profile.image())) {
+            run(task);
+        } else if (fetching.add(profile.image())) {
+            environment.history().fetched();
+            after(profile.fetchS() * 1_000, () -> fetched(profile.image()));
+        }
+    }
+
+    private void fetched(String image) {
+        fetching.remove(image);
+        images.add(image);
+        for (Task task : tasks.values()) {
+            if (task.state == State.FETCHING && task.profile.image().equals(image)) {
+                run(task);
+            }
+        }
+    }
+
+    private void run(Task task) {
+        task.state = State.RUNNING;
+        task.runningSinceNs = System.nanoTime();
+        task.startedAtProgressS = environment.history().started(task.name, identity.id());
+        change();
+        double leftS = Math.max(0, task.profile.runS() - task.startedAtProgressS);
+        if (!Double.isInfinite(leftS)) {
+            after(leftS * 1_000, () -> complete(task));
+        }
+    }
+
+    private void complete(Task task) {
+        if (tasks.get(task.name) == task && task.state == State.RUNNING) {
+            environment.history().completed(task.name, identity.id());
+            exit(task, "done");
+        }
+    }
+
+    private void halt(Task task, double graceS) {
+        if (task.state == State.RUNNING
+                && task.profile.saveEveryS() > 0
+                && graceS >= task.profile.saveS()) {
+            task.state = State.SAVING;
+            change();
+            double savedS = task.progressS();
+            after(
+                    task.profile.saveS() * 1_000,
+                    () -> {
+                        if (tasks.get(task.name) == task && task.state == State.SAVING) {
+                            environment.history().ended(task.name, identity.id(), savedS, savedS);
+                            exit(task, "halted");
+                        }
+                    });
+        } else if (task.state == State.FETCHING) {
+            exit(task, "halted");
+        } else if (task.state == State.RUNNING || graceS <= 0 && task.state == State.SAVING) {
+            interrupted(task);
+            exit(task, "halted");
+        }
+    }
+
+    private void exit(Task task, String cause) {
+        task.state = State.EXITED;
+        task.cause = cause;
+        change();
+    }
+}
