Features file, read into typed settings; measurement of thousands of workers on loopback

Need: new work is switched on by deploy/features.toml, a section for each feature, off when absent. FleetMeasurement starts controllers with the flags of run against stand-ins, and measures time until all run, memory, processor and takeovers. A debug line tells connections and heap of the process.

--- a/src/main/java/org/shoreusher/cli/Main.java
+++ b/src/main/java/org/shoreusher/cli/Main.java
@@ -12,6 +12,8 @@
 import org.apache.commons.cli.Option;
 import org.apache.commons.cli.Options;
 import org.apache.commons.cli.ParseException;
+import org.shoreusher.settings.Features;
+import org.shoreusher.settings.FeaturesFile;
 import org.shoreusher.settings.Settings;
 
 /**
@@ -39,10 +41,17 @@
                         .argName("FILE")
                         .desc("The settings file (JSON) that the platform hands over.")
                         .build());
+        options.addOption(
+                Option.builder()
+                        .longOpt("features")
+                        .hasArg()
+                        .argName("FILE")
+                        .desc("The features file (TOML); without it all features are off.")
+                        .build());
         options.addOption(
                 Option.builder()
                         .longOpt("check")
-                        .desc("Check the settings file and exit.")
+                        .desc("Check the settings and features files and exit.")
                         .build());
         options.addOption(
                 Option.builder("h").longOpt("help").desc("Show this help and exit.").build());
@@ -79,8 +88,12 @@
             return complain("LOG_LEVEL must be error, info or debug, not '" + level + "'", USAGE);
         }
         Settings settings;
+        Features features = Features.NONE;
         try {
             settings = Settings.load(Path.of(line.getOptionValue("config")));
+            if (line.hasOption("features")) {
+                features = FeaturesFile.load(Path.of(line.getOptionValue("features")), settings);
+            }
         } catch (Settings.Invalid e) {
             return complain(e.getMessage(), UNUSABLE);
         }
@@ -88,10 +101,10 @@
             System.out.println("settings are valid: " + settings.host() + " in " + settings.zone());
             return 0;
         }
-        return serve(settings, level);
+        return serve(settings, features, level);
     }
 
-    private static int serve(Settings settings, String level) {
+    private static int serve(Settings settings, Features features, String level) {
         System.setProperty("org.slf4j.simpleLogger.log.shoreusher", level);
         System.setProperty("org.slf4j.simpleLogger.defaultLogLevel", "error");
         System.setProperty("org.slf4j.simpleLogger.showThreadName", "false");
@@ -104,7 +117,8 @@
         byte[] suffix = new byte[6];
         new SecureRandom().nextBytes(suffix);
         try {
-            new Service(settings, settings.host() + "/" + HexFormat.of().formatHex(suffix)).run();
+            String owner = settings.host() + "/" + HexFormat.of().formatHex(suffix);
+            new Service(settings, features, owner).run();
         } catch (InterruptedException e) {
             return complain("interrupted", UNUSABLE);
         } catch (Exception e) {
@@ -127,7 +141,7 @@
         formatter.printHelp(
                 out,
                 HelpFormatter.DEFAULT_WIDTH,
-                "shoreusher --config FILE [--check]",
+                "shoreusher --config FILE [--features FILE] [--check]",
                 "Runs one controller of the shoreusher cluster scheduler.",
                 options(),
                 HelpFormatter.DEFAULT_LEFT_PAD,
--- a/src/main/java/org/shoreusher/cli/Rehearsal.java
+++ b/src/main/java/org/shoreusher/cli/Rehearsal.java
@@ -23,8 +23,8 @@
         try (ServiceRehearsal story = new ServiceRehearsal()) {
             Path file = Files.createTempFile("rehearsal", ".json");
             Files.writeString(file, story.settings(), StandardCharsets.UTF_8);
-            Thread program =
-                    new Thread(() -> Main.main(new String[] {"--config", file.toString()}));
+            String[] flags = {"--features", "deploy/features.toml", "--config", file.toString()};
+            Thread program = new Thread(() -> Main.main(flags));
             program.setDaemon(true);
             program.start();
             story.play();
--- a/src/main/java/org/shoreusher/cli/Service.java
+++ b/src/main/java/org/shoreusher/cli/Service.java
@@ -12,6 +12,7 @@
 import org.shoreusher.core.Effect;
 import org.shoreusher.core.Node;
 import org.shoreusher.peer.Peers;
+import org.shoreusher.settings.Features;
 import org.shoreusher.settings.Settings;
 import org.shoreusher.settings.Tuning;
 import org.shoreusher.state.StateClient;
@@ -43,10 +44,10 @@
     private long lateMs;
 
     /** Connects the core to its adapters; nothing is sent before the loop runs. */
-    public Service(Settings settings, String owner) {
+    public Service(Settings settings, Features features, String owner) {
         this.settings = settings;
         queue = new ManyToOneConcurrentArrayQueue<>(Math.max(Tuning.QUEUE, settings.sockets()));
-        node = new Node(settings, owner, Tuning.PARTS);
+        node = new Node(settings, features, owner, Tuning.PARTS);
         state = new StateClient(loop, settings, this::mustTake);
         cloud = new CloudClient(loop, settings, this::mustTake);
         workers = new WorkerClient(loop);
@@ -72,6 +73,11 @@
                     Tuning.LATENCY_LINE_S,
                     Tuning.LATENCY_LINE_S,
                     TimeUnit.SECONDS);
+            loop.scheduleAtFixedRate(
+                    () -> LOG.debug(ProcessStatus.line(front.connections())),
+                    Tuning.STATUS_LINE_MS,
+                    Tuning.STATUS_LINE_MS,
+                    TimeUnit.MILLISECONDS);
         }
         group.terminationFuture().sync();
     }
--- a/src/main/java/org/shoreusher/core/Node.java
+++ b/src/main/java/org/shoreusher/core/Node.java
@@ -8,6 +8,7 @@
 import org.shoreusher.core.StoreSchema.JobStatus;
 import org.shoreusher.core.StoreSchema.MachineRecord;
 import org.shoreusher.core.StoreSchema.PartRecord;
+import org.shoreusher.settings.Features;
 import org.shoreusher.settings.Settings;
 import org.shoreusher.settings.Tuning;
 import org.shoreusher.wire.WorkerFormat;
@@ -33,11 +34,12 @@
     private final double[] dealt;
 
     /**
+     * @param features the optional features that this node uses; others may use different ones
      * @param owner the node's name, a slash, and a suffix that no other process has ever had
      * @param count number of parts; the same on all nodes and for the life of the state service's
      *     contents
      */
-    public Node(Settings settings, String owner, int count) {
+    public Node(Settings settings, Features features, String owner, int count) {
         this.settings = settings;
         dealt = new double[count];
         out = new Outbox(settings, count);
@@ -46,7 +48,8 @@
         types = new MachineTypes(settings, out, view);
         formats = new MemberFormats(settings, out, view, owner, count);
         peers = new PeerHints(settings, out, count, this::ownedPart);
-        NodeContext context = new NodeContext(settings, out, view, arrivals, index, types, formats);
+        NodeContext context =
+                new NodeContext(settings, features, out, view, arrivals, index, types, formats);
         parts = new Parts(count, context, peers, owner);
         users = new UserRequests(context, owner, this::counts, this::roomiestPart);
     }
--- a/src/main/java/org/shoreusher/core/NodeContext.java
+++ b/src/main/java/org/shoreusher/core/NodeContext.java
@@ -1,10 +1,12 @@
 package org.shoreusher.core;
 
+import org.shoreusher.settings.Features;
 import org.shoreusher.settings.Settings;
 
 /** What the classes of a node share, whatever parts it owns. */
 record NodeContext(
         Settings settings,
+        Features features,
         Outbox out,
         StoreView view,
         Arrivals arrivals,
--- /dev/null
+++ b/src/main/java/org/shoreusher/measure/ControllerProcess.java
@@ -0,0 +1,106 @@
+package org.shoreusher.measure;
+
+import java.io.BufferedReader;
+import java.io.IOException;
+import java.io.InputStreamReader;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.function.Predicate;
+
+/** A controller that runs as a process of its own, with the lines that it has logged. */
+final class ControllerProcess {
+    /** A line of the log; {@code atMs} by the clock of {@link System#nanoTime}. */
+    record Line(long atMs, String text) {}
+
+    private final String host;
+    private final List<String> command;
+    private final List<Line> lines = new ArrayList<>();
+    private Process process;
+
+    ControllerProcess(String host, List<String> command) {
+        this.host = host;
+        this.command = List.copyOf(command);
+    }
+
+    String host() {
+        return host;
+    }
+
+    /** Starts it, or starts it again. */
+    void start() throws IOException {
+        ProcessBuilder builder = new ProcessBuilder(command).redirectErrorStream(true);
+        builder.environment().put("LOG_LEVEL", "debug");
+        process = builder.start();
+        Process started = process;
+        Thread reader = new Thread(() -> read(started), host);
+        reader.setDaemon(true);
+        reader.start();
+    }
+
+    private void read(Process of) {
+        try (BufferedReader reader =
+                new BufferedReader(
+                        new InputStreamReader(of.getInputStream(), StandardCharsets.UTF_8))) {
+            for (String line = reader.readLine(); line != null; line = reader.readLine()) {
+                add(new Line(nowMs(), line));
+            }
+        } catch (IOException e) {
+            add(new Line(nowMs(), "log ended: " + e.getMessage()));
+        }
+    }
+
+    private synchronized void add(Line line) {
+        lines.add(line);
+    }
+
+    /** Ends it without a signal that it could handle. */
+    void kill() throws InterruptedException {
+        process.destroyForcibly().waitFor();
+    }
+
+    boolean alive() {
+        return process != null && process.isAlive();
+    }
+
+    /** The last line after a moment that the predicate accepts; null if there is none. */
+    synchronized Line last(long afterMs, Predicate<String> wanted) {
+        for (int i = lines.size() - 1; i >= 0 && lines.get(i).atMs() > afterMs; i--) {
+            if (wanted.test(lines.get(i).text())) {
+                return lines.get(i);
+            }
+        }
+        return null;
+    }
+
+    /** All lines after a moment that the predicate accepts. */
+    synchronized List<Line> all(long afterMs, Predicate<String> wanted) {
+        return lines.stream().filter(l -> l.atMs() > afterMs && wanted.test(l.text())).toList();
+    }
+
+    /** MB of memory that the process holds now, or its most; NaN where the system does not tell. */
+    double memoryMb(boolean most) {
+        String field = most ? "VmHWM:" : "VmRSS:";
+        try {
+            for (String line : Files.readAllLines(Path.of("/proc/" + process.pid() + "/status"))) {
+                if (line.startsWith(field)) {
+                    return Long.parseLong(line.replaceAll("[^0-9]", "")) / 1024.0;
+                }
+            }
+        } catch (IOException e) {
+            return Double.NaN;
+        }
+        return Double.NaN;
+    }
+
+    /** Seconds of processor that the process has used. */
+    double processorS() {
+        return process.info().totalCpuDuration().map(d -> d.toMillis() / 1000.0).orElse(Double.NaN);
+    }
+
+    static long nowMs() {
+        return System.nanoTime() / 1_000_000;
+    }
+}
--- /dev/null
+++ b/src/main/java/org/shoreusher/measure/FleetMeasurement.java
@@ -0,0 +1,140 @@
+package org.shoreusher.measure;
+
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+import org.apache.commons.cli.CommandLine;
+import org.apache.commons.cli.DefaultParser;
+import org.apache.commons.cli.Options;
+import org.apache.commons.cli.ParseException;
+import org.shoreusher.standin.CloudStandIn;
+import org.shoreusher.standin.JobProfile;
+
+/**
+ * Measures controllers with thousands of workers: how long until all run a task, what memory and
+ * processor time the owner takes, and how long a taker needs to know all machines again after the
+ * owner was killed. Exits with 1 if a step fails or a task was on two machines at once.
+ *
+ * <p>{@code java -cp target/shoreusher.jar org.shoreusher.measure.FleetMeasurement --machines 4000}
+ */
+public final class FleetMeasurement {
+    private static final int TASKS_OF_JOB = 500;
+    private static final int TAKEOVERS = 2;
+    private static final double CPUS = 4;
+    private static final double RUN_S = 3_600;
+    private static final double REPORT_S = 5;
+    private static final double LEASE_S = 26.5;
+    private static final double ALL_UP_S = 240;
+    private static final double REBUILD_S = 120;
+    private static final long STEADY_MS = 20_000;
+
+    private FleetMeasurement() {}
+
+    /** Runs the measurement. */
+    public static void main(String[] args) throws Exception {
+        Options options = new Options().addOption("m", "machines", true, "machines, default 4000");
+        int code = 0;
+        try {
+            CommandLine line = new DefaultParser().parse(options, args);
+            measure(Integer.parseInt(line.getOptionValue("machines", "4000")));
+        } catch (ParseException | NumberFormatException | IllegalStateException e) {
+            System.err.println("measurement failed: " + e.getMessage());
+            code = 1;
+        }
+        System.exit(code);
+    }
+
+    private static void measure(int machines) throws Exception {
+        Cluster.Shape shape =
+                new Cluster.Shape(
+                        3,
+                        machines,
+                        new CloudStandIn.Offer(CPUS, 8, 1, List.of("a", "b")),
+                        Map.of("team", machines * CPUS),
+                        REPORT_S,
+                        LEASE_S,
+                        null);
+        try (Cluster cluster = new Cluster(shape)) {
+            cluster.start();
+            long beganMs = ControllerProcess.nowMs();
+            for (int first = 0; first < machines; first += TASKS_OF_JOB) {
+                cluster.submit(job(first, Math.min(TASKS_OF_JOB, machines - first)));
+            }
+            Cluster.await(
+                    "every machine runs a task",
+                    ALL_UP_S,
+                    () -> cluster.history().running() == machines);
+            print("machines with a task: %d, after %.1f s", machines, sinceS(beganMs));
+            steady(cluster);
+            for (int i = 0; i < TAKEOVERS; i++) {
+                takeover(cluster, machines);
+            }
+            steady(cluster);
+            if (!cluster.history().violations().isEmpty()) {
+                throw new IllegalStateException(String.join("; ", cluster.history().violations()));
+            }
+        }
+    }
+
+    private static JobRequest job(int first, int tasks) {
+        String id = String.format("wk-%06d", first + 1);
+        return new JobRequest(
+                id, "c", "team", tasks, CPUS, 0.1, new JobProfile("image", 0.1, RUN_S, 0, 0));
+    }
+
+    /** Prints what each controller holds and uses while nothing changes. */
+    private static void steady(Cluster cluster) throws InterruptedException {
+        ControllerProcess owner = cluster.owner();
+        double before = owner.processorS();
+        Thread.sleep(STEADY_MS);
+        double share = (owner.processorS() - before) * 1_000 / STEADY_MS;
+        for (ControllerProcess controller : cluster.controllers()) {
+            ControllerProcess.Line line =
+                    controller.last(Long.MIN_VALUE, text -> text.contains("process: "));
+            print(
+                    "%s%s: %.0f MB held, %.0f MB at most; %s",
+                    controller.host(),
+                    controller == owner ? " (owner)" : "",
+                    controller.memoryMb(false),
+                    controller.memoryMb(true),
+                    line == null ? "" : line.text().replaceAll(".*process: ", ""));
+        }
+        print("owner's processor: %.2f of a core", share);
+    }
+
+    /** Kills the owner, waits until another knows all machines, and starts the killed one again. */
+    private static void takeover(Cluster cluster, int machines) throws Exception {
+        ControllerProcess killed = cluster.owner();
+        int running = cluster.history().running();
+        long killedMs = ControllerProcess.nowMs();
+        killed.kill();
+        Cluster.await("another took the part", REBUILD_S, () -> cluster.owner() != killed);
+        ControllerProcess taker = cluster.owner();
+        Cluster.await(
+                "the part is rebuilt",
+                REBUILD_S,
+                () -> taker.last(killedMs, text -> text.contains("rebuilt: part 0")) != null);
+        long takenMs = taker.last(killedMs, text -> text.contains("takeover:")).atMs();
+        ControllerProcess.Line rebuilt = taker.last(killedMs, text -> text.contains("rebuilt:"));
+        print(
+                "owner killed: taken after %.1f s, rebuilt after %.1f s more; tasks %d -> %d; %s",
+                (takenMs - killedMs) / 1000.0,
+                (rebuilt.atMs() - takenMs) / 1000.0,
+                running,
+                cluster.history().running(),
+                rebuilt.text().replaceAll(".*rebuilt", "rebuilt"));
+        killed.start();
+        Cluster.await(
+                "every machine runs a task",
+                ALL_UP_S,
+                () -> cluster.history().running() == machines);
+    }
+
+    private static double sinceS(long beganMs) {
+        return (ControllerProcess.nowMs() - beganMs) / 1000.0;
+    }
+
+    private static void print(String form, Object... values) {
+        System.out.println(String.format(Locale.ROOT, form, values));
+    }
+}
--- /dev/null
+++ b/src/main/java/org/shoreusher/measure/JobRequest.java
@@ -0,0 +1,39 @@
+package org.shoreusher.measure;
+
+import java.util.LinkedHashMap;
+import java.util.Map;
+import org.shoreusher.standin.JobProfile;
+
+/** A job that a measurement submits, with how its tasks behave. */
+record JobRequest(
+        String id,
+        String jobClass,
+        String team,
+        int tasks,
+        double cpus,
+        double imageGb,
+        JobProfile profile) {
+
+    /** The body of its submission. */
+    Map<String, Object> body() {
+        Map<String, Object> body = new LinkedHashMap<>();
+        body.put("name_id", id);
+        body.put("queue", jobClass);
+        body.put("crew", team);
+        body.put("shape", "sweep");
+        body.put("urgency", "standard");
+        body.put("sheets", (long) tasks);
+        body.put("cpus", cpus);
+        body.put("gpus", 0.0);
+        body.put("mem_gb", 0.5);
+        body.put("plate", profile.image());
+        body.put("size_gb", imageGb);
+        body.put("one_zone", false);
+        body.put("scatter", false);
+        body.put("loaners", true);
+        body.put("runtime_s", profile.runS());
+        body.put("proof_interval_s", profile.saveEveryS());
+        body.put("proof_s", profile.saveS());
+        return body;
+    }
+}
--- /dev/null
+++ b/src/main/java/org/shoreusher/settings/FeatureSection.java
@@ -0,0 +1,100 @@
+package org.shoreusher.settings;
+
+import java.util.LinkedHashSet;
+import java.util.Map;
+import java.util.Set;
+import org.shoreusher.wire.FieldMap;
+
+/**
+ * One section of a features file. Every key that is asked for counts as known; {@link #finish}
+ * refuses the others.
+ */
+final class FeatureSection {
+    private final String name;
+    private final Map<String, Object> values;
+    private final Set<String> known = new LinkedHashSet<>();
+
+    FeatureSection(String name, Map<String, Object> values) {
+        this.name = name;
+        this.values = values;
+    }
+
+    boolean flag(String key, boolean otherwise) throws Settings.Invalid {
+        Object value = value(key);
+        if (value == null) {
+            return otherwise;
+        }
+        if (value instanceof Boolean flag) {
+            return flag;
+        }
+        throw wrong(key, "true or false");
+    }
+
+    double number(String key, double least, double most, double otherwise) throws Settings.Invalid {
+        Object value = value(key);
+        if (value == null) {
+            return otherwise;
+        }
+        if (value instanceof Number number
+                && number.doubleValue() >= least
+                && number.doubleValue() <= most) {
+            return number.doubleValue();
+        }
+        throw wrong(key, "a number from " + text(least) + " to " + text(most));
+    }
+
+    int whole(String key, int least, int most, int otherwise) throws Settings.Invalid {
+        Object value = value(key);
+        if (value == null) {
+            return otherwise;
+        }
+        if (value instanceof Long number && number >= least && number <= most) {
+            return number.intValue();
+        }
+        throw wrong(key, "a whole number from " + least + " to " + most);
+    }
+
+    /** A section within this one; null if it is absent. */
+    FeatureSection section(String key) throws Settings.Invalid {
+        Object value = value(key);
+        if (value == null) {
+            return null;
+        }
+        if (!(value instanceof Map<?, ?>)) {
+            throw wrong(key, "a section");
+        }
+        return new FeatureSection(path(key), new FieldMap(values).asMapOf(key));
+    }
+
+    /** The names of all that is in this section. */
+    Set<String> names() {
+        return values.keySet();
+    }
+
+    /** Refuses keys that nobody has asked for. */
+    void finish() throws Settings.Invalid {
+        for (String key : values.keySet()) {
+            if (!known.contains(key)) {
+                throw new Settings.Invalid(
+                        "features: " + path(key) + " is unknown; allowed are " + known);
+            }
+        }
+    }
+
+    private Object value(String key) {
+        known.add(key);
+        return values.get(key);
+    }
+
+    private Settings.Invalid wrong(String key, String allowed) {
+        return new Settings.Invalid("features: " + path(key) + " must be " + allowed);
+    }
+
+    private String path(String key) {
+        return name.isEmpty() ? key : name + "." + key;
+    }
+
+    private static String text(double bound) {
+        return bound == Math.rint(bound) ? String.valueOf((long) bound) : String.valueOf(bound);
+    }
+}
--- /dev/null
+++ b/src/main/java/org/shoreusher/settings/FeaturesFile.java
@@ -0,0 +1,106 @@
+package org.shoreusher.settings;
+
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.LinkedHashMap;
+import java.util.Map;
+import java.util.TreeSet;
+import java.util.stream.Collectors;
+import org.shoreusher.balance.BalanceSettings;
+import org.shoreusher.balance.BalanceSettings.ClassBudget;
+import org.shoreusher.wire.FieldMap;
+
+/**
+ * Reads the operators' features file: a TOML section for each feature, which is off when its
+ * section is absent or says so. Anything unknown, of a wrong type or out of range is refused.
+ */
+public final class FeaturesFile {
+    private static final int MOST_MOVES = 1_000;
+    private static final int MOST_MOVES_OF_TASK = 10;
+    private static final double LONGEST_COOLDOWN_S = 3_600;
+    private static final double HIGHEST_GAIN = 100;
+
+    private FeaturesFile() {}
+
+    /** Reads and checks a file. */
+    public static Features load(Path file, Settings settings) throws Settings.Invalid {
+        byte[] bytes;
+        try {
+            bytes = Files.readAllBytes(file);
+        } catch (IOException e) {
+            throw new Settings.Invalid("cannot read features file " + file + ": " + e.getMessage());
+        }
+        return parse(bytes, settings);
+    }
+
+    /** Checks the bytes of a file; {@code settings} tells which classes of jobs there are. */
+    public static Features parse(byte[] toml, Settings settings) throws Settings.Invalid {
+        FieldMap root;
+        try {
+            root = FieldMap.toml(toml);
+        } catch (IOException e) {
+            throw new Settings.Invalid(
+                    "features are not valid TOML: "
+                            + e.getMessage().lines().findFirst().orElse(""));
+        }
+        FeatureSection all = new FeatureSection("", root.asMap());
+        FeatureSection balance = all.section("balance");
+        Features features = new Features(balance == null ? null : balance(balance, settings));
+        all.finish();
+        return features;
+    }
+
+    private static BalanceSettings balance(FeatureSection section, Settings settings)
+            throws Settings.Invalid {
+        BalanceSettings usual = BalanceSettings.DEFAULTS;
+        boolean enabled = section.flag("enabled", true);
+        BalanceSettings balance =
+                new BalanceSettings(
+                        section.number("spread_margin", 0.05, 1, usual.spreadMargin()),
+                        section.number("hysteresis", 0, 0.5, usual.hysteresis()),
+                        section.number("hot_share", 0.01, 1, usual.hotShare()),
+                        section.whole("moves_at_once", 0, MOST_MOVES, usual.movesAtOnce()),
+                        section.whole("moves_per_team", 0, MOST_MOVES, usual.movesPerTeam()),
+                        section.whole("moves_per_zone", 0, MOST_MOVES, usual.movesPerZone()),
+                        section.number("cooldown_s", 0, LONGEST_COOLDOWN_S, usual.cooldownS()),
+                        section.number("least_gain", 1, HIGHEST_GAIN, usual.leastGain()),
+                        budget(section, usual.usualBudget()),
+                        budgets(section.section("classes"), settings, usual.usualBudget()));
+        section.finish();
+        return enabled ? balance : null;
+    }
+
+    private static ClassBudget budget(FeatureSection section, ClassBudget usual)
+            throws Settings.Invalid {
+        return new ClassBudget(
+                section.whole("moves_per_task", 0, MOST_MOVES_OF_TASK, usual.movesPerTask()),
+                section.number("repeated_share", 0, 1, usual.repeatedShare()));
+    }
+
+    private static Map<String, ClassBudget> budgets(
+            FeatureSection classes, Settings settings, ClassBudget usual) throws Settings.Invalid {
+        Map<String, ClassBudget> budgets = new LinkedHashMap<>();
+        if (classes == null) {
+            return budgets;
+        }
+        TreeSet<String> known =
+                settings.objectives().stream()
+                        .map(Settings.Objective::jobClass)
+                        .filter(name -> !name.isEmpty())
+                        .collect(Collectors.toCollection(TreeSet::new));
+        for (String name : classes.names()) {
+            FeatureSection section = classes.section(name);
+            if (!known.contains(name)) {
+                throw new Settings.Invalid(
+                        "features: balance.classes."
+                                + name
+                                + " is no class of this deployment; allowed are "
+                                + known);
+            }
+            budgets.put(name, budget(section, usual));
+            section.finish();
+        }
+        return budgets;
+    }
+}
--- a/src/main/java/org/shoreusher/user/HttpFrontend.java
+++ b/src/main/java/org/shoreusher/user/HttpFrontend.java
@@ -149,6 +149,11 @@
         return line;
     }
 
+    /** Connections that are open. */
+    public int connections() {
+        return connections.size();
+    }
+
     private static void send(
             ChannelHandlerContext ctx,
             boolean keepAlive,
--- a/src/main/java/org/shoreusher/wire/FieldMap.java
+++ b/src/main/java/org/shoreusher/wire/FieldMap.java
@@ -6,6 +6,7 @@
 import com.fasterxml.jackson.core.JsonToken;
 import com.fasterxml.jackson.core.StreamReadConstraints;
 import com.fasterxml.jackson.dataformat.cbor.CBORFactory;
+import com.fasterxml.jackson.dataformat.toml.TomlFactory;
 import java.io.ByteArrayOutputStream;
 import java.io.IOException;
 import java.util.ArrayList;
@@ -68,6 +69,14 @@
         }
     }
 
+    /** The map in a TOML text. */
+    public static FieldMap toml(byte[] text) throws IOException {
+        // Made when it is needed: a controller reads one file of it, at its start.
+        try (JsonParser p = new TomlFactory().createParser(text)) {
+            return whole(p);
+        }
+    }
+
     private static FieldMap whole(JsonParser p) throws IOException {
         if (p.nextToken() != JsonToken.START_OBJECT) {
             throw new IOException("not a map");
@@ -184,6 +193,12 @@
         return map;
     }
 
+    /** The entries of a field that holds a map. */
+    @SuppressWarnings("unchecked")
+    public Map<String, Object> asMapOf(String field) {
+        return (Map<String, Object>) map.get(field);
+    }
+
     /** Whether a field is there and not null. */
     public boolean has(String field) {
         return map.get(field) != null;
--- a/src/test/java/org/shoreusher/cli/ServiceRehearsalTest.java
+++ b/src/test/java/org/shoreusher/cli/ServiceRehearsalTest.java
@@ -2,6 +2,7 @@
 
 import java.nio.charset.StandardCharsets;
 import net.jqwik.api.Example;
+import org.shoreusher.settings.Features;
 import org.shoreusher.settings.Settings;
 
 /** The story of the build's rehearsal, with a whole controller over loopback. */
@@ -10,7 +11,7 @@
     void aServiceComesBackWhenItsMachineIsLostAndEndsWhenItIsCancelled() throws Exception {
         try (ServiceRehearsal story = new ServiceRehearsal()) {
             byte[] file = story.settings().getBytes(StandardCharsets.UTF_8);
-            Service controller = new Service(Settings.parse(file), "rehearsal/test");
+            Service controller = new Service(Settings.parse(file), Features.NONE, "rehearsal/test");
             Thread thread = new Thread(() -> run(controller));
             thread.start();
             try {
--- a/src/test/java/org/shoreusher/core/OwnerPiecesTest.java
+++ b/src/test/java/org/shoreusher/core/OwnerPiecesTest.java
@@ -18,6 +18,7 @@
 import org.shoreusher.core.Effect.StateOp;
 import org.shoreusher.core.Hint.Claim;
 import org.shoreusher.core.StoreSchema.QuotaRecord;
+import org.shoreusher.settings.Features;
 import org.shoreusher.settings.Settings;
 
 /** Tests of the classes by which an owner acts. */
@@ -233,7 +234,7 @@
                 new StartMarks(
                         0,
                         1,
-                        new NodeContext(s, out, view, arrivals, null, null, null),
+                        new NodeContext(s, Features.NONE, out, view, arrivals, null, null, null),
                         ownership,
                         jobs);
         long revision = 1;
@@ -261,7 +262,7 @@
         new StartMarks(
                         0,
                         1,
-                        new NodeContext(s, out, view, arrivals, null, null, null),
+                        new NodeContext(s, Features.NONE, out, view, arrivals, null, null, null),
                         ownership,
                         taken)
                 .load();
--- a/src/test/java/org/shoreusher/core/StartMarksTest.java
+++ b/src/test/java/org/shoreusher/core/StartMarksTest.java
@@ -13,6 +13,7 @@
 import net.jqwik.api.constraints.LongRange;
 import org.shoreusher.core.Command.StateReply;
 import org.shoreusher.core.Effect.StateOp;
+import org.shoreusher.settings.Features;
 import org.shoreusher.settings.Settings;
 import org.shoreusher.wire.FieldMap;
 
@@ -66,6 +67,7 @@
                         1,
                         new NodeContext(
                                 SETTINGS,
+                                Features.NONE,
                                 out,
                                 view,
                                 new Arrivals(SETTINGS, out, view),
--- a/src/test/java/org/shoreusher/model/SingleNode.java
+++ b/src/test/java/org/shoreusher/model/SingleNode.java
@@ -18,6 +18,7 @@
 import org.shoreusher.core.WorkerReport;
 import org.shoreusher.core.WorkerReport.TaskReport;
 import org.shoreusher.model.World.Sabotage;
+import org.shoreusher.settings.Features;
 import org.shoreusher.settings.Settings;
 import org.shoreusher.wire.UserFormat;
 
@@ -39,7 +40,7 @@
 
     SingleNode(Settings settings) {
         world = new World(0, settings, 1, Sabotage.NONE);
-        node = new Node(settings, "node-0/1", 1);
+        node = new Node(settings, Features.NONE, "node-0/1", 1);
     }
 
     void steps(int count) {
--- a/src/test/java/org/shoreusher/model/World.java
+++ b/src/test/java/org/shoreusher/model/World.java
@@ -9,11 +9,13 @@
 import java.util.PriorityQueue;
 import java.util.Random;
 import java.util.function.Consumer;
+import java.util.function.IntPredicate;
 import org.shoreusher.core.ClockReading;
 import org.shoreusher.core.Command;
 import org.shoreusher.core.Effect;
 import org.shoreusher.core.Node;
 import org.shoreusher.core.WorkerReport;
+import org.shoreusher.settings.Features;
 import org.shoreusher.settings.Settings;
 import org.shoreusher.settings.SettingsBuilder;
 import org.shoreusher.settings.Tuning;
@@ -79,6 +81,12 @@
     /** From here on no trouble goes on, and every question must find its answer. */
     long quietFrom = Long.MAX_VALUE;
 
+    /** The features of the processes that use any. */
+    Features features = Features.NONE;
+
+    /** Which processes, by number, use features. */
+    IntPredicate withFeatures = process -> true;
+
     /** Told of every takeover, with the process that took the part. */
     Consumer<Process> onTakeover = p -> {};
 
@@ -245,12 +253,21 @@
         void start() {
             life++;
             wallOff = (long) ((random.nextDouble() * 2 - 1) * settings.clockOffMs());
-            node = new Node(ownSettings(), host + "/" + Long.toHexString(random.nextLong()), parts);
+            node =
+                    new Node(
+                            ownSettings(),
+                            features(),
+                            host + "/" + Long.toHexString(random.nextLong()),
+                            parts);
             queue.clear();
             waiting.clear();
             tick(life);
         }
 
+        private Features features() {
+            return withFeatures.test(index) ? features : Features.NONE;
+        }
+
         private Settings ownSettings() {
             Settings s = old() ? former : settings;
             List<Settings.Member> members =
--- /dev/null
+++ b/src/test/java/org/shoreusher/settings/FeaturesFileTest.java
@@ -0,0 +1,113 @@
+package org.shoreusher.settings;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertNull;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+
+import java.nio.charset.StandardCharsets;
+import java.util.Map;
+import net.jqwik.api.Example;
+import org.shoreusher.balance.BalanceSettings;
+import org.shoreusher.balance.BalanceSettings.ClassBudget;
+
+/** Tests of the features file. */
+class FeaturesFileTest {
+    private static Features parse(String text) throws Settings.Invalid {
+        Settings settings = SettingsTest.parse(SettingsTest.GOOD.replace("guarantee\"", KNOWN));
+        return FeaturesFile.parse(text.getBytes(StandardCharsets.UTF_8), settings);
+    }
+
+    private static final String KNOWN = "finished\",\"class\":\"rush\"";
+
+    @Example
+    void aFeatureIsOffUnlessItsSectionIsThere() throws Settings.Invalid {
+        assertEquals(Features.NONE, parse(""));
+        assertNull(parse("[balance]\nenabled = false\nspread_margin = 0.5").balance());
+        assertEquals(BalanceSettings.DEFAULTS, parse("[balance]").balance());
+    }
+
+    @Example
+    void readsEverySetting() throws Settings.Invalid {
+        BalanceSettings balance =
+                parse(
+                                """
+                                [balance]
+                                enabled = true
+                                spread_margin = 1
+                                hysteresis = 0.1
+                                hot_share = 0.5
+                                moves_at_once = 20
+                                moves_per_team = 10
+                                moves_per_zone = 7
+                                cooldown_s = 0
+                                least_gain = 3.5
+                                moves_per_task = 2
+                                repeated_share = 0.0
+                                [balance.classes.rush]
+                                moves_per_task = 0
+                                """)
+                        .balance();
+        assertEquals(
+                new BalanceSettings(
+                        1,
+                        0.1,
+                        0.5,
+                        20,
+                        10,
+                        7,
+                        0,
+                        3.5,
+                        new ClassBudget(2, 0),
+                        Map.of("rush", new ClassBudget(0, 0.02))),
+                balance);
+    }
+
+    @Example
+    void saysInOneSentenceWhatIsWrongAndWhatIsAllowed() {
+        String[][] cases = {
+            {"[balanse]", "features: balanse is unknown; allowed are [balance]"},
+            {"balance = 3", "features: balance must be a section"},
+            {"[balance]\nenabled = 1", "features: balance.enabled must be true or false"},
+            {
+                "[balance]\nspread_margin = 0.01",
+                "features: balance.spread_margin must be a number from 0.05 to 1"
+            },
+            {
+                "[balance]\nspread_margin = \"wide\"",
+                "features: balance.spread_margin must be a number from 0.05 to 1"
+            },
+            {
+                "[balance]\nspread_margin = nan",
+                "features: balance.spread_margin must be a number from 0.05 to 1"
+            },
+            {
+                "[balance]\nmoves_at_once = 2.5",
+                "features: balance.moves_at_once must be a whole number from 0 to 1000"
+            },
+            {
+                "[balance]\nmoves_per_task = -1",
+                "features: balance.moves_per_task must be a whole number from 0 to 10"
+            },
+            {
+                "[balance.classes.rush]\nrepeated_share = 1.5",
+                "features: balance.classes.rush.repeated_share must be a number from 0 to 1"
+            },
+            {
+                "[balance.classes.other]",
+                "features: balance.classes.other is no class of this deployment;"
+                        + " allowed are [rush]"
+            },
+            {
+                "[balance.classes.rush]\nmoves = 1",
+                "features: balance.classes.rush.moves is unknown;"
+                        + " allowed are [moves_per_task, repeated_share]"
+            }
+        };
+        for (String[] c : cases) {
+            Settings.Invalid e = assertThrows(Settings.Invalid.class, () -> parse(c[0]), c[0]);
+            assertEquals(c[1], e.getMessage());
+        }
+        Settings.Invalid e = assertThrows(Settings.Invalid.class, () -> parse("[balance"));
+        assertEquals(1, e.getMessage().lines().count());
+    }
+}
--- a/src/test/java/org/shoreusher/settings/SettingsTest.java
+++ b/src/test/java/org/shoreusher/settings/SettingsTest.java
@@ -10,7 +10,7 @@
 
 /** Tests of the settings file. */
 class SettingsTest {
-    private static final String GOOD =
+    static final String GOOD =
             """
             {"host_name":"n-0","zone":"a","front":"127.0.0.1:8080",
              "back":"127.0.0.1:8081","new":{"x":1},
@@ -26,7 +26,7 @@
               "clock_off_ms":25.0}}\
             """;
 
-    private static Settings parse(String text) throws Settings.Invalid {
+    static Settings parse(String text) throws Settings.Invalid {
         return Settings.parse(text.getBytes(StandardCharsets.UTF_8));
     }
 
