Balancer: hot teams' work is spread within a margin, running tasks are moved

Need: jobs of a team that share images crowd onto the machines that hold them while others idle, and a task once placed never moves. Change: org.shoreusher.balance keeps the load by team from what is booked and reported, limits what a plan puts on one machine for a team that is hot, and chooses bounded moves with a budget for each class; a move is a typed state machine. core.Balancing carries it out: the stop as in preemption, the start only in the answer to the target's report and only after a newer report of the source or the end of its lease; room and quota are held meanwhile. Reports' "stored" is read; the expectation of readsAReportWithFieldsItDoesNotKnow names it now, all else in it is as it was. Off by default.

--- a/src/main/java/org/shoreusher/balance/BalanceSettings.java
+++ b/src/main/java/org/shoreusher/balance/BalanceSettings.java
@@ -12,7 +12,8 @@
  * @param movesAtOnce moves under way in a part
  * @param movesPerTeam moves under way of a team
  * @param movesPerZone moves under way into a zone
- * @param cooldownS seconds from the end of a machine's last move until its next
+ * @param cooldownS seconds for which no task leaves a machine that one was moved to, and none comes
+ *     to one that a task was moved away from
  * @param leastGain how many times the cost of a move its task must still have to run
  * @param usualBudget budget of a class without one of its own
  * @param budgets budgets by class of jobs
--- /dev/null
+++ b/src/main/java/org/shoreusher/core/Balancing.java
@@ -0,0 +1,359 @@
+package org.shoreusher.core;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+import org.shoreusher.balance.BalanceSettings;
+import org.shoreusher.balance.Balancer;
+import org.shoreusher.balance.FleetView;
+import org.shoreusher.balance.MovableTask;
+import org.shoreusher.balance.Move;
+import org.shoreusher.balance.TaskId;
+import org.shoreusher.settings.Tuning;
+
+/**
+ * Carries out what the balancer decides for a part: limits how much of a hot team's work goes on
+ * one machine, and moves running tasks. Inert when the feature is off.
+ *
+ * <p>Promise: a task that is moved is started at its target only in the answer to a report, under
+ * the same checks as any other, and only after the source has shown that it is gone or its lease
+ * has surely ended. Until then it is booked at the source; from then until its start its room and
+ * its team's are held, so it never counts twice.
+ */
+final class Balancing implements ResourceLedger.Listener, Planner.SpreadLimit, FleetView {
+    /** What is held for a move: the task, and room for it at the target. */
+    private static final class Reservation {
+        private final Move move;
+        private final TaskAttempt source;
+        private final Machine target;
+
+        /** Whether the task has left the source, and its team's room is held. */
+        private boolean left;
+
+        Reservation(Move move, TaskAttempt source, Machine target) {
+            this.move = move;
+            this.source = source;
+            this.target = target;
+        }
+
+        JobSpec spec() {
+            return source.job.spec;
+        }
+    }
+
+    private final Part part;
+    private final Outbox out;
+    private final ResourceLedger ledger;
+    private final Balancer balancer;
+    private final Map<TaskId, Reservation> reservations = new LinkedHashMap<>();
+    private long nextStepMs;
+    private long nextLineMs;
+
+    Balancing(Part part, NodeContext context, ResourceLedger ledger) {
+        this.part = part;
+        this.ledger = ledger;
+        out = context.out();
+        BalanceSettings settings = context.features().balance();
+        balancer = settings == null ? null : new Balancer(settings, patience(context));
+    }
+
+    private Balancer.Patience patience(NodeContext context) {
+        // The source shows the end within its lease, or the lease ends; the target reports soon.
+        long reportMs = Math.round(context.settings().reportS() * 1_000);
+        return new Balancer.Patience(
+                PartLease.workerLeaseMs(context.settings()) + 2 * reportMs,
+                Tuning.MOVE_START_REPORTS * reportMs);
+    }
+
+    private boolean off() {
+        return balancer == null;
+    }
+
+    // ---- what happens in the part ------------------------------------------------------------
+
+    /** A machine has reported. */
+    void reported(Machine m) {
+        if (!off()) {
+            balancer.load().machine(m.id, m.zone, m.type.cpus(), m.type.fetchGbPerS());
+            balancer.load().reported(m.id, out.now.steadyMs());
+        }
+    }
+
+    /** A machine does not belong to the part any more. */
+    void machineGone(String id) {
+        if (!off()) {
+            balancer.load().machineGone(id);
+        }
+    }
+
+    /** A job was begun under an owner before. */
+    void begunBefore(Job job) {
+        if (!off()) {
+            balancer.budget().begunBefore(job.id);
+        }
+    }
+
+    /** A job has ended. */
+    void jobEnded(Job job) {
+        if (!off()) {
+            balancer.budget().jobEnded(job.id);
+        }
+    }
+
+    /** A task of the job has completed after so many seconds. */
+    void worked(Job job, double seconds) {
+        if (!off()) {
+            balancer.budget().worked(job.spec.jobClass(), seconds);
+        }
+    }
+
+    @Override
+    public void added(TaskAttempt live) {
+        if (!off()) {
+            JobSpec spec = live.job.spec;
+            balancer.load().taskAdded(live.machine.id, spec.team(), spec.cpus(), spec.image());
+        }
+    }
+
+    @Override
+    public void removed(TaskAttempt live) {
+        if (off()) {
+            return;
+        }
+        JobSpec spec = live.job.spec;
+        balancer.load().taskRemoved(live.machine.id, spec.team(), spec.cpus());
+        Reservation r = reservations.get(new TaskId(live.job.id, live.index));
+        if (r == null || r.source != live) {
+            return;
+        }
+        if (live.job.done.get(live.index)) {
+            release(r);
+            balancer.completed(r.move, out.now.steadyMs());
+            out.log("move: " + r.move.task().id() + " had completed before it was stopped");
+        } else if (live.job.closed) {
+            abandon(r, Move.Reason.JOB_CLOSED);
+        } else {
+            balancer.leftSource(r.move, live.saved, out.now.steadyMs());
+            r.left = true;
+            live.job.setWaiting(live.index, false);
+            ledger.hold(spec);
+        }
+    }
+
+    // ---- placing -----------------------------------------------------------------------------
+
+    /** How much of a hot team's work plans put on one machine. */
+    Planner.SpreadLimit spreadLimit() {
+        return off() ? Planner.SpreadLimit.NONE : this;
+    }
+
+    @Override
+    public double cpusAllowed(Machine m, JobSpec spec) {
+        if (!balancer.hot(spec.team())) {
+            return Double.POSITIVE_INFINITY;
+        }
+        double fetchShare = m.images.contains(spec.image()) ? Planner.fetchShare(m.type, spec) : 0;
+        return balancer.cpusAllowed(m.id, spec.team(), spec.cpus(), fetchShare);
+    }
+
+    @Override
+    public double cpusUsed(Machine m, String team) {
+        return balancer.load().cpusOn(m.id, team);
+    }
+
+    /** Whether a task of a move waits for this machine's report. */
+    boolean hasReady(Machine m) {
+        return m.reservations > 0
+                && reservations.values().stream().anyMatch(r -> r.target == m && r.left);
+    }
+
+    /**
+     * Tasks of moves that are to be started now on a machine that reports; they are waiting from
+     * here on, and the machine has room for them.
+     */
+    List<TaskId> takeReady(Machine m) {
+        List<TaskId> ready = new ArrayList<>();
+        if (!hasReady(m)) {
+            return ready;
+        }
+        for (Reservation r : List.copyOf(reservations.values())) {
+            if (r.target != m || !r.left) {
+                continue;
+            }
+            if (r.source.job.closed) {
+                abandon(r, Move.Reason.JOB_CLOSED);
+            } else if (part.teamRoom().cpusLeft(r.spec().team()) < -Tuning.EPSILON) {
+                // The limit may have become less since the task left its source.
+                abandon(r, Move.Reason.TEAM_LIMIT);
+            } else {
+                release(r);
+                balancer.started(r.move, out.now.steadyMs());
+                out.log(
+                        "moved: %s to %s after %.1f s%s"
+                                .formatted(
+                                        r.move.task().id(),
+                                        m.id,
+                                        (out.now.steadyMs() - r.move.begunMs()) / 1000.0,
+                                        r.source.saved ? ", saved" : ""));
+                ready.add(r.move.task().id());
+            }
+        }
+        return ready;
+    }
+
+    // ---- moving ------------------------------------------------------------------------------
+
+    /** Looks after the moves under way, and begins new ones. */
+    void step() {
+        if (off() || out.now.steadyMs() < nextStepMs) {
+            return;
+        }
+        nextStepMs = out.now.steadyMs() + Tuning.BALANCE_EVERY_MS;
+        for (Reservation r : List.copyOf(reservations.values())) {
+            check(r);
+        }
+        // Nothing is begun before all machines are heard, after a lapse, or on a view that is old:
+        // what is known of the machines is then not what is on them.
+        if (part.rebuilt() && part.mayStart()) {
+            balancer.demand(demand());
+            balancer.plan(this, out.now.steadyMs()).forEach(this::begin);
+        }
+        if (out.now.steadyMs() >= nextLineMs && balancer.statistics().moves() > 0) {
+            nextLineMs = out.now.steadyMs() + Tuning.STATUS_LINE_MS;
+            out.detail("balance: part " + part.n + " " + balancer.statistics().line());
+        }
+    }
+
+    /** CPUs that each team wants beyond what it uses, as far as its limit allows. */
+    private Map<String, Double> demand() {
+        Map<String, Double> wanted = new HashMap<>();
+        for (Job job : part.jobs().values()) {
+            if (job.waitingCount > 0) {
+                wanted.merge(job.spec.team(), job.waitingCount * job.spec.cpus(), Double::sum);
+            }
+        }
+        wanted.replaceAll(
+                (team, cpus) -> Math.max(0, Math.min(cpus, part.teamRoom().cpusLeft(team))));
+        return wanted;
+    }
+
+    private void check(Reservation r) {
+        Move.Reason late = balancer.overdue(r.move, out.now.steadyMs());
+        if (r.source.job.closed) {
+            abandon(r, Move.Reason.JOB_CLOSED);
+        } else if (part.machines().get(r.target.id) != r.target || !part.available(r.target)) {
+            abandon(r, Move.Reason.TARGET_LOST);
+        } else if (late != null) {
+            abandon(r, late);
+        }
+    }
+
+    private void begin(Move move) {
+        Job job = part.jobs().get(move.task().id().job());
+        TaskAttempt live = job.live.get(move.task().id().index());
+        Reservation r = new Reservation(move, live, part.machines().get(move.target()));
+        reservations.put(move.task().id(), r);
+        r.target.reserve(r.spec(), 1);
+        live.stopping = true;
+        part.stops().halt(live, TaskStops.graceS(live));
+        out.log(
+                "move: %s from %s to %s, spread of %s %.2f, gain %.0f s"
+                        .formatted(
+                                move.task().id(),
+                                live.machine.id,
+                                move.target(),
+                                move.task().team(),
+                                balancer.load().spread(move.task().team()),
+                                move.gainS()));
+    }
+
+    private void abandon(Reservation r, Move.Reason reason) {
+        release(r);
+        balancer.abandon(r.move, reason, out.now.steadyMs());
+        out.log(
+                "move: "
+                        + r.move.task().id()
+                        + " abandoned, "
+                        + reason.name().toLowerCase(Locale.ROOT).replace('_', ' '));
+    }
+
+    /** Gives back what is held for a move; the task waits again if it has left its source. */
+    private void release(Reservation r) {
+        reservations.remove(r.move.task().id());
+        r.target.reserve(r.spec(), -1);
+        if (!r.left) {
+            return;
+        }
+        ledger.letGo(r.spec());
+        Job job = r.source.job;
+        int index = r.source.index;
+        if (!job.closed && !job.done.get(index) && job.live.get(index) == null) {
+            job.setWaiting(index, true);
+        }
+    }
+
+    @Override
+    public List<MovableTask> movableTasks(String machine, String team) {
+        List<MovableTask> movable = new ArrayList<>();
+        Machine m = part.machines().get(machine);
+        if (m == null || !part.available(m)) {
+            return movable;
+        }
+        for (TaskAttempt live : m.tasks.values()) {
+            if (live.job.spec.team().equals(team) && movable(live)) {
+                movable.add(task(live));
+            }
+        }
+        return movable;
+    }
+
+    /** Whether a task can be stopped without harm to its job. */
+    private boolean movable(TaskAttempt live) {
+        JobSpec spec = live.job.spec;
+        return live.state == TaskAttempt.State.RUNNING
+                && !live.stopping
+                && !live.mustStop
+                && !live.job.closed
+                && spec.shape().ends()
+                && spec.checkpointS() > 0
+                && !spec.oneZone()
+                && !spec.spread()
+                && live.job.live.get(live.index) == live
+                && out.now.steadyMs() - live.sinceMs > Tuning.START_COUNTS_MS
+                && part.urgency().canSpare(live.job, out.now.wallMs());
+    }
+
+    private MovableTask task(TaskAttempt live) {
+        JobSpec spec = live.job.spec;
+        double ranS = (out.now.steadyMs() - live.runningSinceMs) / 1000.0;
+        return new MovableTask(
+                new TaskId(live.job.id, live.index),
+                spec.jobClass(),
+                spec.team(),
+                spec.cpus(),
+                spec.image(),
+                spec.imageGb(),
+                live.machine.id,
+                part.estimates().runS(live.job) - ranS,
+                Math.min(spec.checkpointS(), ranS),
+                spec.saveS());
+    }
+
+    @Override
+    public boolean takes(String machine, MovableTask task) {
+        Machine m = part.machines().get(machine);
+        Job job = part.jobs().get(task.id().job());
+        if (m == null || job == null || !part.available(m) || !m.recordedUsed) {
+            return false;
+        }
+        Planner.Slot slot = new Planner.Slot(m);
+        return !slot.dear
+                && !job.failedOn.contains(machine)
+                && m.tasks.size() + m.reservations < Tuning.MOST_TASKS_ON_MACHINE
+                && job.spec.allows(m.type.name(), m.zone, m.spot)
+                && slot.fits(job.spec) > 0;
+    }
+}
--- a/src/main/java/org/shoreusher/core/Fleet.java
+++ b/src/main/java/org/shoreusher/core/Fleet.java
@@ -106,7 +106,7 @@
         }
         spare.clear();
         for (Machine m : part.machines().values()) {
-            if (part.available(m) && m.tasks.isEmpty() && !needed.contains(m)) {
+            if (part.available(m) && m.unused() && !needed.contains(m)) {
                 spare.add(m);
             }
         }
@@ -209,7 +209,8 @@
         runEmpty(most);
         for (Machine m : new ArrayList<>(part.machines().values())) {
             if (most > 0
-                    && (spare.contains(m) || (m.yielding && m.tasks.isEmpty()))
+                    && (spare.contains(m) || m.yielding)
+                    && m.unused()
                     && m.state == Machine.State.UP
                     && m.recordedUsed
                     && out.now.steadyMs() - m.idleSinceMs > Tuning.HANDOVER_IDLE_MS) {
@@ -338,7 +339,7 @@
     private void returnIdle(Set<Machine> needed) {
         for (Machine m : part.machines().values()) {
             if (m.state == Machine.State.UP
-                    && m.tasks.isEmpty()
+                    && m.unused()
                     && !needed.contains(m)
                     && m.idleSinceMs >= 0
                     && !standby.needs(m)
--- a/src/main/java/org/shoreusher/core/Machine.java
+++ b/src/main/java/org/shoreusher/core/Machine.java
@@ -91,6 +91,13 @@
     /** Tasks in its newest report, those that have exited included. */
     int shown;
 
+    /** Tasks of moves that room is kept for, and that room. */
+    int reservations;
+
+    private double cpusReserved;
+    private double gpusReserved;
+    private double memReserved;
+
     double cpusUsed;
     double gpusUsed;
     double memUsed;
@@ -164,15 +171,28 @@
     }
 
     double cpusFree() {
-        return type.cpus() - cpusUsed;
+        return type.cpus() - cpusUsed - cpusReserved;
     }
 
     double gpusFree() {
-        return type.gpus() - gpusUsed;
+        return type.gpus() - gpusUsed - gpusReserved;
     }
 
     double memFree() {
-        return type.memGb() - memUsed;
+        return type.memGb() - memUsed - memReserved;
+    }
+
+    /** Keeps room for so many more tasks that are moved here; less than 0: gives it back. */
+    void reserve(JobSpec spec, int tasks) {
+        reservations += tasks;
+        cpusReserved = reservations == 0 ? 0 : cpusReserved + tasks * spec.cpus();
+        gpusReserved = reservations == 0 ? 0 : gpusReserved + tasks * spec.gpus();
+        memReserved = reservations == 0 ? 0 : memReserved + tasks * spec.memGb();
+    }
+
+    /** Whether nothing is on it and nothing is about to come. */
+    boolean unused() {
+        return tasks.isEmpty() && reservations == 0;
     }
 
     /** A stable copy, for callers that change the tasks as they go. */
--- a/src/main/java/org/shoreusher/core/MachineLifecycle.java
+++ b/src/main/java/org/shoreusher/core/MachineLifecycle.java
@@ -91,7 +91,7 @@
     void gone(Machine m, String why) {
         out.log("gone: " + m.id + " of part " + part.n + ", " + why);
         m.tasksNow().forEach(ledger::remove);
-        part.machines().remove(m.id);
+        part.removeMachine(m.id);
         part.records().changed(m.id);
         part.fleet().list().forget(m.id);
     }
@@ -121,7 +121,7 @@
                 && !part.fleet().list().isGone(id)) {
             addMachine(id, record);
         } else if (m != null && m.tasks.isEmpty() && record.part() != part.n) {
-            part.machines().remove(id);
+            part.removeMachine(id);
         }
     }
 }
--- a/src/main/java/org/shoreusher/core/MachineRecords.java
+++ b/src/main/java/org/shoreusher/core/MachineRecords.java
@@ -6,6 +6,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.TreeMap;
+import java.util.function.Consumer;
 import org.shoreusher.core.Effect.StateOp;
 import org.shoreusher.core.StoreSchema.MachineGroup;
 import org.shoreusher.core.StoreSchema.MachineRecord;
@@ -26,6 +27,10 @@
     private final MemberFormats formats;
     private final PartOwnership ownership;
     private final Map<String, Machine> machines;
+
+    /** Told of a machine that belongs to another part now. */
+    private final Consumer<String> handedOver;
+
     private final ObjectLinkedOpenHashSet<String> dirty = new ObjectLinkedOpenHashSet<>();
 
     /** Wide groups, written under a larger value limit, whose machines move to narrow ones. */
@@ -35,7 +40,12 @@
     private long nextMs;
 
     MachineRecords(
-            int n, NodeContext context, PartOwnership ownership, Map<String, Machine> machines) {
+            int n,
+            NodeContext context,
+            PartOwnership ownership,
+            Map<String, Machine> machines,
+            Consumer<String> handedOver) {
+        this.handedOver = handedOver;
         this.n = n;
         settings = context.settings();
         out = context.out();
@@ -210,7 +220,7 @@
                 if (m.state == Machine.State.HANDING) {
                     out.log("handover: " + id + " from part " + n + " to part " + record.part());
                 }
-                machines.remove(id);
+                handedOver.accept(id);
             } else if (record != null && record.part() != n) {
                 continue;
             } else if (m == null
--- a/src/main/java/org/shoreusher/core/Part.java
+++ b/src/main/java/org/shoreusher/core/Part.java
@@ -69,6 +69,7 @@
 
     private final Rebuild rebuild;
     private final TeamRoom teamRoom;
+    private final Balancing balancing;
     private final MachineLifecycle lifecycle;
     private long nextWalkMs;
     private long nextStatusMs;
@@ -85,13 +86,15 @@
         this.index = context.index();
         this.ownership = ownership;
         this.quota = new Quota(n, parts, settings, out, view, ownership.fence());
-        this.records = new MachineRecords(n, context, ownership, machines);
+        this.records = new MachineRecords(n, context, ownership, machines, this::removeMachine);
         this.urgency = new Urgency(settings, estimates);
         this.fleet = new Fleet(this, settings, out, types);
         this.otherParts = new OtherParts(n, parts, others, jobs, machines);
         this.marks = new StartMarks(n, parts, context, ownership, jobs);
         this.finalStates = new FinalStates(out, view, arrivals, ownership);
         this.stops = new TaskStops(this, out);
+        this.balancing = new Balancing(this, context, ledger);
+        ledger.listen(balancing);
         this.rebuild = new Rebuild(this, context, ownership, marks);
         this.lifecycle = new MachineLifecycle(this, parts, context, others, ownership, ledger);
         this.teamRoom = new TeamRoom(settings, quota, ledger, rebuild, otherParts);
@@ -212,6 +215,16 @@
         return teamRoom;
     }
 
+    Balancing balancing() {
+        return balancing;
+    }
+
+    /** A machine is gone, or belongs to another part. */
+    void removeMachine(String id) {
+        machines.remove(id);
+        balancing.machineGone(id);
+    }
+
     /** Whether a machine reports and may be given work. */
     boolean available(Machine m) {
         return m.state == Machine.State.UP
@@ -285,6 +298,7 @@
         fleet.step();
         stops.displace();
         stops.preempt();
+        balancing.step();
         if (out.now.steadyMs() >= nextStatusMs) {
             nextStatusMs = out.now.steadyMs() + Tuning.STATUS_LINE_MS;
             out.detail(PartStatus.line(this, view.size()));
@@ -342,6 +356,7 @@
             return;
         }
         job.closed = true;
+        balancing.jobEnded(job);
         job.waiting.clear();
         job.waitingCount = 0;
         for (TaskAttempt live : new ArrayList<>(job.live.values())) {
@@ -378,6 +393,6 @@
                 }
             }
         }
-        return new Planner(slots, teamRoom::cpusLeft, teamRoom::gpusLeft);
+        return new Planner(slots, teamRoom::cpusLeft, teamRoom::gpusLeft, balancing.spreadLimit());
     }
 }
--- a/src/main/java/org/shoreusher/core/Planner.java
+++ b/src/main/java/org/shoreusher/core/Planner.java
@@ -31,6 +31,8 @@
         double gpus;
         double mem;
 
+        private Object2DoubleOpenHashMap<String> planned;
+
         /** Where it stands in the order for the job that is being placed. */
         private double rank;
 
@@ -74,6 +76,19 @@
             return cpus <= Tuning.EPSILON && gpus <= Tuning.EPSILON;
         }
 
+        /** CPUs that this plan gives to a team here. */
+        double planned(String team) {
+            return planned == null ? 0 : planned.getDouble(team);
+        }
+
+        /** Notes what this plan gives to the job's team here. */
+        void plan(JobSpec job, int count) {
+            if (planned == null) {
+                planned = new Object2DoubleOpenHashMap<>();
+            }
+            planned.addTo(job.team(), job.cpus() * count);
+        }
+
         void take(JobSpec job, int count) {
             cpus -= job.cpus() * count;
             gpus -= job.gpus() * count;
@@ -84,12 +99,36 @@
     /** So many tasks of a job on a machine. */
     record Placed(Job job, Slot slot, int count) {}
 
+    /** How much of a team's work may go on one machine as long as others have room. */
+    interface SpreadLimit {
+        /** No limit at all. */
+        SpreadLimit NONE =
+                new SpreadLimit() {
+                    @Override
+                    public double cpusAllowed(Machine m, JobSpec spec) {
+                        return Double.POSITIVE_INFINITY;
+                    }
+
+                    @Override
+                    public double cpusUsed(Machine m, String team) {
+                        return 0;
+                    }
+                };
+
+        /** CPUs that the job's team may use on the machine. */
+        double cpusAllowed(Machine m, JobSpec spec);
+
+        /** CPUs that a team uses on the machine. */
+        double cpusUsed(Machine m, String team);
+    }
+
     private static final Comparator<Slot> ORDER =
             Comparator.comparingDouble((Slot s) -> s.rank)
                     .thenComparing(s -> s.machine == null ? "~" : s.machine.id);
 
     private final ToDoubleFunction<String> cpusLeft;
     private final ToDoubleFunction<String> gpusLeft;
+    private final SpreadLimit spreadLimit;
     private final Object2DoubleOpenHashMap<String> cpusPlanned = new Object2DoubleOpenHashMap<>();
     private final Object2DoubleOpenHashMap<String> gpusPlanned = new Object2DoubleOpenHashMap<>();
 
@@ -103,9 +142,18 @@
             List<Slot> slots,
             ToDoubleFunction<String> cpusLeft,
             ToDoubleFunction<String> gpusLeft) {
+        this(slots, cpusLeft, gpusLeft, SpreadLimit.NONE);
+    }
+
+    Planner(
+            List<Slot> slots,
+            ToDoubleFunction<String> cpusLeft,
+            ToDoubleFunction<String> gpusLeft,
+            SpreadLimit spreadLimit) {
         this.slots = slots;
         this.cpusLeft = cpusLeft;
         this.gpusLeft = gpusLeft;
+        this.spreadLimit = spreadLimit;
     }
 
     List<Placed> placed() {
@@ -180,6 +228,18 @@
                                                 : 0));
         slots.sort(ORDER);
         ZoneRule zones = new ZoneRule(job);
+        left = fill(job, left, zones, spreadLimit);
+        if (left > 0 && spreadLimit != SpreadLimit.NONE) {
+            // No work waits for the sake of balance.
+            left = fill(job, left, zones, SpreadLimit.NONE);
+        }
+        return left;
+    }
+
+    /** Puts tasks on machines in their order; returns how many found no room within the limit. */
+    private int fill(Job job, int wanted, ZoneRule zones, SpreadLimit limit) {
+        JobSpec spec = job.spec;
+        int left = wanted;
         boolean filled = false;
         for (int i = 0; i < slots.size() && left > 0; i++) {
             Slot slot = slots.get(i);
@@ -187,8 +247,12 @@
                 continue;
             }
             int n = Math.min(Math.min(left, slot.fits(spec)), zones.room(slot.zone));
+            n = Math.min(n, within(limit, slot, spec));
             if (n > 0) {
                 slot.take(spec, n);
+                if (spreadLimit != SpreadLimit.NONE) {
+                    slot.plan(spec, n);
+                }
                 zones.add(slot.zone, n);
                 cpusPlanned.addTo(spec.team(), n * spec.cpus());
                 gpusPlanned.addTo(spec.team(), n * spec.gpus());
@@ -203,6 +267,19 @@
         return left;
     }
 
+    /** How many more tasks of the job the limit allows on a machine. */
+    private int within(SpreadLimit limit, Slot slot, JobSpec spec) {
+        if (slot.machine == null || spec.cpus() <= 0) {
+            return Integer.MAX_VALUE;
+        }
+        double allowed = limit.cpusAllowed(slot.machine, spec);
+        if (Double.isInfinite(allowed)) {
+            return Integer.MAX_VALUE;
+        }
+        double used = limit.cpusUsed(slot.machine, spec.team()) + slot.planned(spec.team());
+        return (int) Math.max(0, Math.floor((allowed - used) / spec.cpus() + Tuning.EPSILON));
+    }
+
     /**
      * Keeps machines that are partly free for a job that found no room, the emptiest first: filled
      * up with smaller tasks again and again they would never have room for a larger one. Returns
@@ -237,8 +314,13 @@
         if (slot.machine != null && slot.machine.images.contains(spec.image())) {
             return 0;
         }
-        double fetchS = spec.imageGb() / Math.max(Tuning.LEAST_FETCH, slot.type.fetchGbPerS());
-        return spec.cpus() * fetchS / (fetchS + Math.max(Tuning.LEAST_RUN_S, spec.estimateS()));
+        return spec.cpus() * fetchShare(slot.type, spec);
+    }
+
+    /** Share of a task's time on a machine without its image that goes into the fetch. */
+    static double fetchShare(MachineType type, JobSpec spec) {
+        double fetchS = spec.imageGb() / Math.max(Tuning.LEAST_FETCH, type.fetchGbPerS());
+        return fetchS / (fetchS + Math.max(Tuning.LEAST_RUN_S, spec.estimateS()));
     }
 
     /** The rules on zones, given the job's tasks that are or may be on machines. */
--- a/src/main/java/org/shoreusher/core/Rebuild.java
+++ b/src/main/java/org/shoreusher/core/Rebuild.java
@@ -91,6 +91,9 @@
         marks.load();
         for (Job job : part.jobs().values()) {
             job.waitFrom(job.startBelow);
+            if (job.startBelow > 0) {
+                part.balancing().begunBefore(job);
+            }
             job.zonesUnknown = job.startBelow > 0 && (job.spec.oneZone() || job.spec.spread());
             part.finalStates().finished(job);
         }
--- a/src/main/java/org/shoreusher/core/ReportReader.java
+++ b/src/main/java/org/shoreusher/core/ReportReader.java
@@ -37,6 +37,7 @@
             m.used = true;
             part.records().changed(m.id);
         }
+        part.balancing().reported(m);
         m.shown = r.tasks().size();
         ObjectOpenHashSet<String> shown = new ObjectOpenHashSet<>();
         for (TaskReport t : r.tasks()) {
@@ -153,6 +154,9 @@
     private void exited(Machine m, String key, TaskReport t) {
         TaskAttempt live = m.tasks.get(key);
         boolean ours = live != null && live.attempt == t.attempt();
+        if (ours) {
+            live.saved = t.saved();
+        }
         Job job = part.jobs().get(t.job());
         if (job != null && !job.spec.shape().ends()) {
             if (ours) {
@@ -169,6 +173,7 @@
                     m.ran(ranS / job.observedMeanS());
                 }
                 part.estimates().observed(job, ranS);
+                part.balancing().worked(job, ranS);
             }
             if (job != null
                     && t.index() >= 0
--- a/src/main/java/org/shoreusher/core/Reports.java
+++ b/src/main/java/org/shoreusher/core/Reports.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayList;
 import java.util.List;
+import org.shoreusher.balance.TaskId;
 import org.shoreusher.core.StoreSchema.JobRecord;
 import org.shoreusher.core.StoreSchema.JobStatus;
 import org.shoreusher.core.StoreSchema.MachineRecord;
@@ -86,7 +87,9 @@
         if (part.holds()) {
             settle(m, r, orders);
             if (m.recordedUsed
-                    && (m.cpusFree() > Tuning.EPSILON || m.gpusFree() > Tuning.EPSILON)
+                    && (m.cpusFree() > Tuning.EPSILON
+                            || m.gpusFree() > Tuning.EPSILON
+                            || part.balancing().hasReady(m))
                     && part.mayStart()
                     && part.available(m)) {
                 start(m, orders);
@@ -194,6 +197,9 @@
     private void start(Machine m, List<WorkerOrder> orders) {
         // Answer and report have a bound on their size, whatever small tasks a large machine could
         // hold.
+        for (TaskId moved : part.balancing().takeReady(m)) {
+            start(part.jobs().get(moved.job()), moved.index(), m, orders);
+        }
         int room = Tuning.MOST_TASKS_ON_MACHINE - Math.max(m.tasks.size(), m.shown);
         for (Planner.Placed p : placement.forMachine(m)) {
             int index = -1;
@@ -203,20 +209,23 @@
                     // Its mark is on its way to the store; the next plan has the task again.
                     break;
                 }
-                TaskAttempt live =
-                        new TaskAttempt(
-                                p.job(),
-                                index,
-                                part.term() << Tuning.ATTEMPT_BITS | nextAttempt++,
-                                m,
-                                TaskAttempt.State.ASKED,
-                                out.now.steadyMs());
-                ledger.add(live, true);
-                p.job().startedCount++;
-                orders.add(
-                        new WorkerOrder(
-                                WorkerOrder.Kind.START, p.job().id, index, live.attempt, 0));
+                start(p.job(), index, m, orders);
             }
         }
     }
+
+    /** Starts a waiting task, under an attempt that was never used. */
+    private void start(Job job, int index, Machine m, List<WorkerOrder> orders) {
+        TaskAttempt live =
+                new TaskAttempt(
+                        job,
+                        index,
+                        part.term() << Tuning.ATTEMPT_BITS | nextAttempt++,
+                        m,
+                        TaskAttempt.State.ASKED,
+                        out.now.steadyMs());
+        ledger.add(live, true);
+        job.startedCount++;
+        orders.add(new WorkerOrder(WorkerOrder.Kind.START, job.id, index, live.attempt, 0));
+    }
 }
--- a/src/main/java/org/shoreusher/core/ResourceLedger.java
+++ b/src/main/java/org/shoreusher/core/ResourceLedger.java
@@ -8,6 +8,25 @@
  * one wait again.
  */
 final class ResourceLedger {
+    /** Is told of every task that is booked. */
+    interface Listener {
+        /** A task is or may be on its machine from now on. */
+        void added(TaskAttempt live);
+
+        /** A task is surely not on its machine any more. */
+        void removed(TaskAttempt live);
+    }
+
+    private static final Listener NOBODY =
+            new Listener() {
+                @Override
+                public void added(TaskAttempt live) {}
+
+                @Override
+                public void removed(TaskAttempt live) {}
+            };
+
+    private Listener listener = NOBODY;
     private final Object2DoubleOpenHashMap<String> teamCpus = new Object2DoubleOpenHashMap<>();
     private final Object2DoubleOpenHashMap<String> teamGpus = new Object2DoubleOpenHashMap<>();
 
@@ -16,6 +35,23 @@
 
     private final Object2DoubleOpenHashMap<String> foundGpus = new Object2DoubleOpenHashMap<>();
 
+    /** Tells this listener from now on. */
+    void listen(Listener to) {
+        listener = to;
+    }
+
+    /** Holds room in the team's use for a task that is on no machine just now. */
+    void hold(JobSpec spec) {
+        teamCpus.addTo(spec.team(), spec.cpus());
+        teamGpus.addTo(spec.team(), spec.gpus());
+    }
+
+    /** Gives back what {@link #hold} has taken. */
+    void letGo(JobSpec spec) {
+        teamCpus.addTo(spec.team(), -spec.cpus());
+        teamGpus.addTo(spec.team(), -spec.gpus());
+    }
+
     /** An owner before has started this task, and a report made since the takeover shows it. */
     void found(TaskAttempt live) {
         foundCpus.addTo(live.job.spec.team(), live.job.spec.cpus());
@@ -47,12 +83,12 @@
         live.machine.memUsed += spec.memGb();
         live.machine.images.add(spec.image());
         live.machine.idleSinceMs = -1;
-        teamCpus.addTo(spec.team(), spec.cpus());
-        teamGpus.addTo(spec.team(), spec.gpus());
+        hold(spec);
         if (placed) {
             live.job.live.put(live.index, live);
             live.job.setWaiting(live.index, false);
         }
+        listener.added(live);
     }
 
     /**
@@ -69,8 +105,7 @@
         m.cpusUsed = m.tasks.isEmpty() ? 0 : m.cpusUsed - spec.cpus();
         m.gpusUsed = m.tasks.isEmpty() ? 0 : m.gpusUsed - spec.gpus();
         m.memUsed = m.tasks.isEmpty() ? 0 : m.memUsed - spec.memGb();
-        teamCpus.addTo(spec.team(), -spec.cpus());
-        teamGpus.addTo(spec.team(), -spec.gpus());
+        letGo(spec);
         Job job = live.job;
         if (job.live.get(live.index) == live) {
             job.live.remove(live.index);
@@ -78,5 +113,6 @@
                 job.setWaiting(live.index, true);
             }
         }
+        listener.removed(live);
     }
 }
--- a/src/main/java/org/shoreusher/core/TaskAttempt.java
+++ b/src/main/java/org/shoreusher/core/TaskAttempt.java
@@ -24,6 +24,9 @@
     /** Told to stop with time to save; it goes back to waiting when it has exited. */
     boolean stopping;
 
+    /** Whether its machine has shown that it saved its progress when it was stopped. */
+    boolean saved;
+
     long runningSinceMs = -1;
     long haltedAtMs = Long.MIN_VALUE / 2;
 
--- a/src/main/java/org/shoreusher/core/WorkerReport.java
+++ b/src/main/java/org/shoreusher/core/WorkerReport.java
@@ -34,8 +34,18 @@
         UNKNOWN
     }
 
-    /** One task on the machine. */
-    public record TaskReport(String job, int index, long attempt, TaskState state, Cause cause) {}
+    /**
+     * One task on the machine.
+     *
+     * @param saved whether it was stopped and its progress is saved
+     */
+    public record TaskReport(
+            String job, int index, long attempt, TaskState state, Cause cause, boolean saved) {
+        /** A task of which no saved progress is reported. */
+        public TaskReport(String job, int index, long attempt, TaskState state, Cause cause) {
+            this(job, index, attempt, state, cause, false);
+        }
+    }
 
     /** Whether this report was made after the one with the given numbers. */
     public boolean newerThan(long otherSession, long otherSeq) {
--- a/src/main/java/org/shoreusher/settings/Tuning.java
+++ b/src/main/java/org/shoreusher/settings/Tuning.java
@@ -572,6 +572,12 @@
     /** s; how often the line on users' waiting is logged, at debug. */
     public static final int LATENCY_LINE_S = 60;
 
+    /** ms; how often moves are planned; a move takes seconds, and a plan walks all jobs. */
+    public static final long BALANCE_EVERY_MS = 1_000;
+
+    /** times report_s in which the target of a move must report, or the task goes to the queue. */
+    public static final long MOVE_START_REPORTS = 3;
+
     /** ms; how often an owner logs where its part stands, at debug. */
     public static final long STATUS_LINE_MS = 10_000;
 
--- a/src/main/java/org/shoreusher/standin/WorkerStandIn.java
+++ b/src/main/java/org/shoreusher/standin/WorkerStandIn.java
@@ -63,6 +63,7 @@
         private final JobProfile profile;
         private State state = State.FETCHING;
         private String cause;
+        private boolean stored;
         private double startedAtProgressS;
         private long runningSinceNs;
 
@@ -262,6 +263,7 @@
         shown.put("status", task.state.shown);
         if (task.cause != null) {
             shown.put("cause", task.cause);
+            shown.put("stored", task.stored);
         }
         return shown;
     }
@@ -359,6 +361,7 @@
                     () -> {
                         if (tasks.get(task.name) == task && task.state == State.SAVING) {
                             environment.history().ended(task.name, identity.id(), savedS, savedS);
+                            task.stored = true;
                             exit(task, "halted");
                         }
                     });
--- a/src/main/java/org/shoreusher/wire/WorkerFormat.java
+++ b/src/main/java/org/shoreusher/wire/WorkerFormat.java
@@ -36,7 +36,8 @@
                             index,
                             s.whole("try"),
                             state,
-                            state == TaskState.EXITED ? cause(s.textOr("cause", "")) : Cause.NONE));
+                            state == TaskState.EXITED ? cause(s.textOr("cause", "")) : Cause.NONE,
+                            s.flagOr("stored", false)));
         }
         return new WorkerReport(
                 t.text("box"),
--- /dev/null
+++ b/src/test/java/org/shoreusher/balance/LoadModelTest.java
@@ -0,0 +1,96 @@
+package org.shoreusher.balance;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Random;
+import net.jqwik.api.Example;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.ShrinkingMode;
+
+/** The load model against sums made anew. */
+class LoadModelTest {
+    private static final double EPSILON = 1e-9;
+
+    private record Booked(String machine, String team, double cpus) {}
+
+    @Property(tries = 100, seed = "5", shrinking = ShrinkingMode.OFF)
+    void agreesWithSumsMadeAnew(@ForAll long seed) {
+        Random random = new Random(seed);
+        LoadModel load = new LoadModel();
+        Map<String, Double> machines = new HashMap<>();
+        List<Booked> tasks = new ArrayList<>();
+        for (int i = 0; i < 300; i++) {
+            String machine = "m-" + random.nextInt(6);
+            switch (random.nextInt(5)) {
+                case 0 -> {
+                    load.machine(machine, "a", 8, 1);
+                    machines.putIfAbsent(machine, 8.0);
+                }
+                case 1 -> {
+                    if (random.nextInt(8) == 0) {
+                        load.machineGone(machine);
+                        machines.remove(machine);
+                        tasks.removeIf(t -> t.machine.equals(machine));
+                    }
+                }
+                case 2 -> {
+                    if (!tasks.isEmpty()) {
+                        Booked t = tasks.remove(random.nextInt(tasks.size()));
+                        load.taskRemoved(t.machine, t.team, t.cpus);
+                    }
+                }
+                default -> {
+                    Booked t = new Booked(machine, "t-" + random.nextInt(2), 1 + random.nextInt(3));
+                    load.taskAdded(t.machine, t.team, t.cpus, "image");
+                    if (machines.containsKey(machine)) {
+                        tasks.add(t);
+                    }
+                }
+            }
+            for (String team : List.of("t-0", "t-1")) {
+                assertEquals(spread(machines, tasks, team), load.spread(team), EPSILON);
+            }
+        }
+    }
+
+    /** The formula of the class comment, term by term. */
+    private static double spread(Map<String, Double> machines, List<Booked> tasks, String team) {
+        double all = 0;
+        double used = 0;
+        double most = 0;
+        for (Map.Entry<String, Double> machine : machines.entrySet()) {
+            double cpus = 0;
+            double largest = 0;
+            for (Booked t : tasks) {
+                if (t.machine.equals(machine.getKey()) && t.team.equals(team)) {
+                    cpus += t.cpus;
+                    largest = Math.max(largest, t.cpus);
+                }
+            }
+            all += machine.getValue();
+            used += cpus;
+            most = Math.max(most, (cpus - largest) / machine.getValue());
+        }
+        return all == 0 ? 0 : Math.max(0, most - used / all);
+    }
+
+    /** What names machines or teams that are unknown changes nothing. */
+    @Example
+    void unknownNamesChangeNothing() {
+        LoadModel load = new LoadModel();
+        load.taskAdded("nowhere", "t", 4, "image");
+        load.taskRemoved("nowhere", "t", 4);
+        load.machineGone("nowhere");
+        load.reported("nowhere", 5);
+        load.machine("m", "a", 8, 1);
+        load.taskRemoved("m", "t", 4);
+        assertEquals(0, load.cpus("t"));
+        assertEquals(0, load.spread("t"));
+        assertEquals(8, load.cpus());
+    }
+}
--- /dev/null
+++ b/src/test/java/org/shoreusher/balance/OptimumTest.java
@@ -0,0 +1,94 @@
+package org.shoreusher.balance;
+
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Random;
+import net.jqwik.api.Example;
+import org.ojalgo.optimisation.Expression;
+import org.ojalgo.optimisation.ExpressionsBasedModel;
+import org.ojalgo.optimisation.Optimisation;
+import org.ojalgo.optimisation.Variable;
+import org.shoreusher.balance.BalanceSettings.ClassBudget;
+
+/** The planner's moves against the best that an integer solver finds for small fleets. */
+class OptimumTest {
+    private static final int MACHINES = 5;
+    private static final int CASES = 30;
+    private static final double MARGIN = 0.05;
+
+    /**
+     * The planner ends at most one task's size and the margin above the least largest use that any
+     * assignment of the tasks has.
+     */
+    @Example
+    void endsWithinATaskAndTheMarginOfTheOptimum() {
+        Random random = new Random(17);
+        for (int i = 0; i < CASES; i++) {
+            List<int[]> tasks = new ArrayList<>();
+            for (int t = 0; t < 9; t++) {
+                int[] task = {random.nextInt(2), 1 + random.nextInt(3)};
+                if (used(tasks, task[0]) + task[1] <= TestFleet.MACHINE_CPUS) {
+                    tasks.add(task);
+                }
+            }
+            double planned = planned(tasks);
+            double optimum = optimum(tasks);
+            int largest = tasks.stream().mapToInt(t -> t[1]).max().orElseThrow();
+            assertTrue(
+                    planned <= optimum + largest + MARGIN * TestFleet.MACHINE_CPUS,
+                    () -> "planned " + planned + ", optimum " + optimum);
+        }
+    }
+
+    private static double used(List<int[]> tasks, int machine) {
+        return tasks.stream().filter(t -> t[0] == machine).mapToInt(t -> t[1]).sum();
+    }
+
+    /** The largest use of a machine after the planner has nothing left to move. */
+    private static double planned(List<int[]> tasks) {
+        ClassBudget ample = new ClassBudget(100, 1);
+        TestFleet fleet =
+                new TestFleet(new BalanceSettings(MARGIN, 0, 0.01, 8, 8, 8, 0, 1, ample, Map.of()))
+                        .machines(MACHINES);
+        for (int[] task : tasks) {
+            fleet.task(task[0], task[1]);
+        }
+        for (List<Move> moves = fleet.plan(); !moves.isEmpty(); moves = fleet.plan()) {
+            moves.forEach(fleet::carryOut);
+        }
+        double most = 0;
+        for (int m = 0; m < MACHINES; m++) {
+            most =
+                    Math.max(
+                            most,
+                            fleet.balancer.load().cpusOn(TestFleet.machine(m), TestFleet.TEAM));
+        }
+        return most;
+    }
+
+    /** The least largest use: each task on one machine, the largest use minimised. */
+    private static double optimum(List<int[]> tasks) {
+        ExpressionsBasedModel model = new ExpressionsBasedModel();
+        Variable largest = model.newVariable("largest").lower(0).weight(1);
+        Variable[][] on = new Variable[tasks.size()][MACHINES];
+        for (int t = 0; t < tasks.size(); t++) {
+            Expression once = model.newExpression("task " + t).level(1);
+            for (int m = 0; m < MACHINES; m++) {
+                on[t][m] = model.newVariable(t + " on " + m).binary();
+                once.set(on[t][m], 1);
+            }
+        }
+        for (int m = 0; m < MACHINES; m++) {
+            Expression use = model.newExpression("machine " + m).upper(0).set(largest, -1);
+            for (int t = 0; t < tasks.size(); t++) {
+                use.set(on[t][m], tasks.get(t)[1]);
+            }
+        }
+        Optimisation.Result result = model.minimise();
+        assertTrue(result.getState().isOptimal(), () -> "no optimum: " + result);
+        return result.getValue();
+    }
+}
--- a/src/test/java/org/shoreusher/model/CloudModel.java
+++ b/src/test/java/org/shoreusher/model/CloudModel.java
@@ -61,6 +61,11 @@
         return mostMachines;
     }
 
+    /** The machine of that name; null if it is gone. */
+    WorkerModel machine(String id) {
+        return machines.get(id);
+    }
+
     WorkerModel byAddress(String address) {
         return byAddress.get(address);
     }
--- a/src/test/java/org/shoreusher/model/ModelSettings.java
+++ b/src/test/java/org/shoreusher/model/ModelSettings.java
@@ -66,6 +66,15 @@
                 .build();
     }
 
+    /** Teams with room for more than the machines that a few jobs need. */
+    static Settings roomy() {
+        return new SettingsBuilder(usual())
+                .teams(
+                        new Settings.Team("team-0", 0, 40, 0, 0),
+                        new Settings.Team("team-1", 0, 200, 0, 0))
+                .build();
+    }
+
     /** Two large teams, and workers that report every 5 s. */
     static Settings large() {
         return new SettingsBuilder(usual())
--- a/src/test/java/org/shoreusher/model/WorkerModel.java
+++ b/src/test/java/org/shoreusher/model/WorkerModel.java
@@ -18,24 +18,12 @@
     private static final long PATIENCE_MS = 4_000;
     private static final long RESULT_KEPT = -1;
 
+    /** One save in so many fails. */
+    private static final int SAVES_FAIL = 4;
+
     /** One report in so many has a late copy. */
     private static final int COPIED = 12;
 
-    /** A task on this machine. */
-    private static final class Task {
-        final String job;
-        final int index;
-        final long attempt;
-        TaskState state = TaskState.FETCHING;
-        Cause cause = Cause.NONE;
-
-        Task(String job, int index, long attempt) {
-            this.job = job;
-            this.index = index;
-            this.attempt = attempt;
-        }
-    }
-
     final String id;
     final String type;
     final String zone;
@@ -43,7 +31,7 @@
     final long rentedAt;
     private final World world;
     private final int number;
-    private final Map<String, Task> tasks = new LinkedHashMap<>();
+    private final Map<String, WorkerTask> tasks = new LinkedHashMap<>();
     private final Map<String, Long> results = new HashMap<>();
     private boolean up;
     private boolean gone;
@@ -168,9 +156,7 @@
 
     private WorkerReport snapshot() {
         List<TaskReport> list = new ArrayList<>();
-        tasks.values()
-                .forEach(
-                        t -> list.add(new TaskReport(t.job, t.index, t.attempt, t.state, t.cause)));
+        tasks.values().forEach(t -> list.add(t.report()));
         double noticeS = takenAt == 0 ? Double.NaN : (takenAt - world.now) / 1000.0;
         return new WorkerReport(
                 id, address(), type, zone, spot, session, ++seq, token, noticeS, list);
@@ -311,12 +297,12 @@
             Map<?, ?> m = (Map<?, ?>) o;
             String name = (String) m.get("sheet");
             long attempt = ((Number) m.get("try")).longValue();
-            Task t = tasks.get(name);
+            WorkerTask t = tasks.get(name);
             switch ((String) m.get("verb")) {
                 case "run" -> start(name, attempt, t);
                 case "halt" -> {
                     if (t != null && t.attempt == attempt && t.state != TaskState.EXITED) {
-                        exit(name, t, Cause.STOPPED);
+                        halt(name, t, ((Number) m.get("wind_down_s")).doubleValue());
                     }
                 }
                 default -> {
@@ -328,15 +314,15 @@
         }
     }
 
-    private void start(String name, long attempt, Task present) {
+    private void start(String name, long attempt, WorkerTask present) {
         if (present != null) {
             if (present.attempt != attempt && world.sabotage == World.Sabotage.NONE) {
                 throw new AssertionError("started " + name + " where it is already");
             }
             return;
         }
-        Task t =
-                new Task(
+        WorkerTask t =
+                new WorkerTask(
                         name.substring(0, name.indexOf('/')),
                         Integer.parseInt(name.substring(name.indexOf('/') + 1)),
                         attempt);
@@ -346,7 +332,7 @@
     }
 
     /** Goes on with a task, unless it is gone; not while the machine hangs. */
-    private void progress(String name, Task t, Runnable go) {
+    private void progress(String name, WorkerTask t, Runnable go) {
         if (gone || tasks.get(name) != t || t.state == TaskState.EXITED) {
             return;
         }
@@ -360,7 +346,7 @@
         }
     }
 
-    private void run(String name, Task t) {
+    private void run(String name, WorkerTask t) {
         t.state = TaskState.RUNNING;
         world.rules.on(this, name);
         change();
@@ -391,6 +377,10 @@
                                 name,
                                 t,
                                 () -> {
+                                    if (t.state == TaskState.SAVING) {
+                                        // It was stopped, and ends with its save.
+                                        return;
+                                    }
                                     if (world.random.nextInt(60) == 0) {
                                         exit(name, t, Cause.ERROR);
                                     } else {
@@ -401,7 +391,33 @@
                                 }));
     }
 
-    private void exit(String name, Task t, Cause cause) {
+    /** A running task that can save does so if there is time; one save in so many fails. */
+    private void halt(String name, WorkerTask t, double windDownS) {
+        UserModel.Wish w = world.users.wishes.get(t.job);
+        if (w == null
+                || w.spec.checkpointS() <= 0
+                || windDownS < w.spec.saveS()
+                || windDownS <= 0) {
+            exit(name, t, Cause.STOPPED);
+        } else if (t.state == TaskState.RUNNING) {
+            t.state = TaskState.SAVING;
+            change();
+            world.in(
+                    Math.round(w.spec.saveS() * 1_000),
+                    () ->
+                            progress(
+                                    name,
+                                    t,
+                                    () -> {
+                                        t.saved = world.random.nextInt(SAVES_FAIL) > 0;
+                                        exit(name, t, Cause.STOPPED);
+                                    }));
+        } else if (t.state == TaskState.FETCHING) {
+            exit(name, t, Cause.STOPPED);
+        }
+    }
+
+    private void exit(String name, WorkerTask t, Cause cause) {
         if (t.state != TaskState.FETCHING) {
             world.rules.off(this, name);
         }
--- /dev/null
+++ b/src/test/java/org/shoreusher/model/WorkerTask.java
@@ -0,0 +1,26 @@
+package org.shoreusher.model;
+
+import org.shoreusher.core.WorkerReport.Cause;
+import org.shoreusher.core.WorkerReport.TaskReport;
+import org.shoreusher.core.WorkerReport.TaskState;
+
+/** A task on a machine of the model. */
+final class WorkerTask {
+    final String job;
+    final int index;
+    final long attempt;
+    TaskState state = TaskState.FETCHING;
+    Cause cause = Cause.NONE;
+    boolean saved;
+
+    WorkerTask(String job, int index, long attempt) {
+        this.job = job;
+        this.index = index;
+        this.attempt = attempt;
+    }
+
+    /** What a report says of it. */
+    TaskReport report() {
+        return new TaskReport(job, index, attempt, state, cause, saved);
+    }
+}
--- a/src/test/java/org/shoreusher/model/World.java
+++ b/src/test/java/org/shoreusher/model/World.java
@@ -81,6 +81,9 @@
     /** From here on no trouble goes on, and every question must find its answer. */
     long quietFrom = Long.MAX_VALUE;
 
+    /** Told of every line that a process logs. */
+    Consumer<String> onLog = line -> {};
+
     /** The features of the processes that use any. */
     Features features = Features.NONE;
 
@@ -397,6 +400,7 @@
                 }
             } else if (effect instanceof Effect.Log l) {
                 log.add(now + " " + host + " " + l.line());
+                onLog.accept(l.line());
                 if (l.line().startsWith("takeover")) {
                     deliverKept();
                     onTakeover.accept(this);
--- a/src/test/java/org/shoreusher/wire/FormatsTest.java
+++ b/src/test/java/org/shoreusher/wire/FormatsTest.java
@@ -231,7 +231,8 @@
                                 3,
                                 7,
                                 WorkerReport.TaskState.EXITED,
-                                WorkerReport.Cause.STOPPED),
+                                WorkerReport.Cause.STOPPED,
+                                true),
                         new WorkerReport.TaskReport(
                                 "wk-000412",
                                 4,
