Moves step by step; budget by machine time; measurement of an evening on which a team's load doubles

Need: each guard of a move is to be seen to fail; the budget counted completed tasks only, so nothing could move in the first minutes, when it is needed most. Change: MoveStepsTest drives one controller message by message; the budget is a share of the time that a class's tasks have spent on machines. BalanceMeasurement plays the evening with exponential, log-normal and Zipf-distributed load against stand-ins. The model checks that no machine holds more than it has (Usage, Rules); its network is a class of its own.

--- a/src/main/java/org/shoreusher/balance/BalanceSettings.java
+++ b/src/main/java/org/shoreusher/balance/BalanceSettings.java
@@ -34,7 +34,8 @@
      * What moves may cost a class of jobs.
      *
      * @param movesPerTask how often one task may be moved
-     * @param repeatedShare work that is repeated because of moves, as a share of the work done
+     * @param repeatedShare work that is repeated because of moves, as a share of the time that
+     *     tasks of the class have spent on machines
      */
     public record ClassBudget(int movesPerTask, double repeatedShare) {}
 
--- a/src/main/java/org/shoreusher/balance/BalanceStatistics.java
+++ b/src/main/java/org/shoreusher/balance/BalanceStatistics.java
@@ -58,7 +58,9 @@
 
     /** One line for the log. */
     public String line() {
-        return "spread median %.3f, 99%% %.3f, most %.3f; moves %d begun, %d started, %d completed before, abandoned %s; move 99%% %.1f s; repeated work most %.1f s"
+        return ("spread median %.3f, 99%% %.3f, most %.3f; moves %d begun, %d started,"
+                        + " %d completed before, abandoned %s; move 99%% %.1f s;"
+                        + " repeated work most %.1f s")
                 .formatted(
                         spread.getValueAtPercentile(50) / THOUSAND,
                         spread.getValueAtPercentile(99) / THOUSAND,
--- a/src/main/java/org/shoreusher/balance/Balancer.java
+++ b/src/main/java/org/shoreusher/balance/Balancer.java
@@ -46,7 +46,7 @@
         return load;
     }
 
-    /** What moves may cost, to be told by the caller of work done and jobs ended. */
+    /** What moves may cost, to be told by the caller of tasks on machines and jobs ended. */
     public MoveBudget budget() {
         return budget;
     }
@@ -127,7 +127,7 @@
 
         @Override
         public boolean allows(MovableTask task) {
-            return !moves.containsKey(task.id()) && budget.allows(task);
+            return !moves.containsKey(task.id()) && budget.allows(task, nowMs);
         }
 
         @Override
--- a/src/main/java/org/shoreusher/balance/MoveBudget.java
+++ b/src/main/java/org/shoreusher/balance/MoveBudget.java
@@ -7,7 +7,8 @@
 import org.shoreusher.balance.BalanceSettings.ClassBudget;
 
 /**
- * How often tasks may still be moved, and how much of their work may be repeated because of it.
+ * How often tasks may still be moved, and how much of their work may be repeated because of it: a
+ * share of the time that tasks of the class have spent on machines.
  *
  * <p>Nothing of it is stored. A job that was begun under an owner before counts as having used up
  * its moves, so that a change of owner never refills a budget.
@@ -15,9 +16,16 @@
 public final class MoveBudget {
     /** What a class has done and what moves have cost it. */
     private static final class Account {
+        private int running;
+        private long sinceMs;
         private double workedS;
         private double repeatedS;
         private double atRiskS;
+
+        void passed(long nowMs) {
+            workedS += running * (nowMs - sinceMs) / 1_000.0;
+            sinceMs = nowMs;
+        }
     }
 
     private final BalanceSettings settings;
@@ -40,15 +48,25 @@
         moves.remove(job);
     }
 
-    /** Tasks of a class have completed so many seconds of work. */
-    public void worked(String jobClass, double seconds) {
-        account(jobClass).workedS += seconds;
+    /** A task of a class is on a machine from now on. */
+    public void taskAdded(String jobClass, long nowMs) {
+        Account account = account(jobClass);
+        account.passed(nowMs);
+        account.running++;
+    }
+
+    /** A task of a class is on a machine no more. */
+    public void taskRemoved(String jobClass, long nowMs) {
+        Account account = account(jobClass);
+        account.passed(nowMs);
+        account.running = Math.max(0, account.running - 1);
     }
 
     /** Whether a task may be moved now. */
-    boolean allows(MovableTask task) {
+    boolean allows(MovableTask task, long nowMs) {
         ClassBudget budget = settings.budget(task.jobClass());
         Account account = account(task.jobClass());
+        account.passed(nowMs);
         return !spent.contains(task.id().job())
                 && movesOf(task.id()) < budget.movesPerTask()
                 && account.repeatedS + account.atRiskS + task.unsavedS()
--- a/src/main/java/org/shoreusher/cli/ProcessStatus.java
+++ b/src/main/java/org/shoreusher/cli/ProcessStatus.java
@@ -10,7 +10,8 @@
     static String line(int connections) {
         Runtime runtime = Runtime.getRuntime();
         long used = runtime.totalMemory() - runtime.freeMemory();
-        return "process: %d connections, heap %.0f MB in use with garbage, %.0f MB reserved of %.0f MB"
+        return ("process: %d connections, heap %.0f MB in use with garbage,"
+                        + " %.0f MB reserved of %.0f MB")
                 .formatted(
                         connections,
                         used / MB,
--- a/src/main/java/org/shoreusher/core/Balancing.java
+++ b/src/main/java/org/shoreusher/core/Balancing.java
@@ -103,18 +103,12 @@
         }
     }
 
-    /** A task of the job has completed after so many seconds. */
-    void worked(Job job, double seconds) {
-        if (!off()) {
-            balancer.budget().worked(job.spec.jobClass(), seconds);
-        }
-    }
-
     @Override
     public void added(TaskAttempt live) {
         if (!off()) {
             JobSpec spec = live.job.spec;
             balancer.load().taskAdded(live.machine.id, spec.team(), spec.cpus(), spec.image());
+            balancer.budget().taskAdded(spec.jobClass(), out.now.steadyMs());
         }
     }
 
@@ -125,6 +119,7 @@
         }
         JobSpec spec = live.job.spec;
         balancer.load().taskRemoved(live.machine.id, spec.team(), spec.cpus());
+        balancer.budget().taskRemoved(spec.jobClass(), out.now.steadyMs());
         Reservation r = reservations.get(new TaskId(live.job.id, live.index));
         if (r == null || r.source != live) {
             return;
--- a/src/main/java/org/shoreusher/core/ReportReader.java
+++ b/src/main/java/org/shoreusher/core/ReportReader.java
@@ -173,7 +173,6 @@
                     m.ran(ranS / job.observedMeanS());
                 }
                 part.estimates().observed(job, ranS);
-                part.balancing().worked(job, ranS);
             }
             if (job != null
                     && t.index() >= 0
--- /dev/null
+++ b/src/main/java/org/shoreusher/measure/BalanceMeasurement.java
@@ -0,0 +1,235 @@
+package org.shoreusher.measure;
+
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+import org.HdrHistogram.Histogram;
+import org.apache.commons.cli.CommandLine;
+import org.apache.commons.cli.DefaultParser;
+import org.apache.commons.cli.Options;
+import org.apache.commons.cli.ParseException;
+import org.shoreusher.balance.BalanceSettings;
+import org.shoreusher.standin.CloudStandIn;
+import org.shoreusher.standin.JobProfile;
+import org.shoreusher.standin.TaskHistory;
+
+/**
+ * Measures the balancer on an evening on which one team's load doubles, against stand-ins in real
+ * time. Exits with 1 if a task was on two machines at once, and with the feature on also if the
+ * spread stays above the margin for too long or more work is repeated than the budget allows.
+ *
+ * <p>{@code java -cp target/shoreusher.jar org.shoreusher.measure.BalanceMeasurement --machines 60
+ * --seed 1 --on}
+ */
+public final class BalanceMeasurement {
+    private static final double CPUS = 8;
+    private static final double FETCH_GB_PER_S = 0.5;
+    private static final double REPORT_S = 0.8;
+    private static final double LEASE_S = 10;
+    private static final long SAMPLE_MS = 1_000;
+    private static final long PRINT_EVERY = 10;
+
+    /** The spread may be above the margin for this long, while tasks become movable and move. */
+    private static final long RETURN_MS = 60_000;
+
+    private static final String FEATURE = "[balance]\nenabled = true\n";
+
+    private final int machines;
+    private final int seed;
+    private final boolean on;
+    private final long doublesMs;
+    private final long endMs;
+    private final Map<String, JobRequest> jobs = new LinkedHashMap<>();
+    private final Map<String, Long> submittedMs = new LinkedHashMap<>();
+    private long samples;
+
+    /** When the spread was first within its bound after the load doubled; -1: not yet. */
+    private long returnedMs = -1;
+
+    private BalanceMeasurement(int machines, int seed, boolean on, int seconds) {
+        this.machines = machines;
+        this.seed = seed;
+        this.on = on;
+        doublesMs = seconds * 1_000L / 2;
+        endMs = seconds * 1_000L;
+    }
+
+    /** Runs the measurement. */
+    public static void main(String[] args) throws Exception {
+        Options options =
+                new Options()
+                        .addOption("m", "machines", true, "machines, default 60")
+                        .addOption("s", "seed", true, "seed of the load, default 1")
+                        .addOption("t", "seconds", true, "length, default 240")
+                        .addOption("o", "on", false, "with the feature on");
+        int code = 0;
+        try {
+            CommandLine line = new DefaultParser().parse(options, args);
+            new BalanceMeasurement(
+                            Integer.parseInt(line.getOptionValue("machines", "60")),
+                            Integer.parseInt(line.getOptionValue("seed", "1")),
+                            line.hasOption("on"),
+                            Integer.parseInt(line.getOptionValue("seconds", "240")))
+                    .run();
+        } catch (ParseException | NumberFormatException | IllegalStateException e) {
+            System.err.println("measurement failed: " + e.getMessage());
+            code = 1;
+        }
+        System.exit(code);
+    }
+
+    private void run() throws Exception {
+        Path features = Files.createTempFile("features", ".toml");
+        Files.writeString(features, FEATURE);
+        Cluster.Shape shape =
+                new Cluster.Shape(
+                        3,
+                        machines,
+                        new CloudStandIn.Offer(CPUS, 64, FETCH_GB_PER_S, List.of("a", "b")),
+                        BookFairLoad.teams(machines * CPUS),
+                        REPORT_S,
+                        LEASE_S,
+                        on ? features : null);
+        BalanceSettings settings = BalanceSettings.DEFAULTS;
+        SpreadSamples spread =
+                new SpreadSamples(
+                        BookFairLoad.HOT_TEAM, settings.spreadMargin() + settings.hysteresis());
+        try (Cluster cluster = new Cluster(shape)) {
+            cluster.start();
+            play(cluster, spread);
+            report(cluster, spread);
+            check(cluster.history(), spread, settings);
+        } finally {
+            Files.delete(features);
+        }
+    }
+
+    private void play(Cluster cluster, SpreadSamples spread) throws InterruptedException {
+        long beganMs = ControllerProcess.nowMs();
+        long nextSampleMs = beganMs;
+        List<BookFairLoad.Arrival> arrivals =
+                new BookFairLoad(seed, FETCH_GB_PER_S).arrivals(machines * CPUS, doublesMs, endMs);
+        for (BookFairLoad.Arrival arrival : arrivals) {
+            nextSampleMs = sampleUntil(beganMs + arrival.atMs(), nextSampleMs, cluster, spread);
+            jobs.put(arrival.job().id(), arrival.job());
+            submittedMs.put(arrival.job().id(), ControllerProcess.nowMs());
+            cluster.submit(arrival.job());
+        }
+        sampleUntil(beganMs + endMs, nextSampleMs, cluster, spread);
+    }
+
+    /** Samples the spread until a moment; returns when the next sample is due. */
+    private long sampleUntil(long untilMs, long firstMs, Cluster cluster, SpreadSamples spread)
+            throws InterruptedException {
+        long nextMs = firstMs;
+        while (ControllerProcess.nowMs() < untilMs) {
+            if (ControllerProcess.nowMs() >= nextMs) {
+                spread.sample(cluster.machines(), cluster.history().runningOn(), jobs);
+                nextMs += SAMPLE_MS;
+                printSample(cluster, spread);
+            }
+            Thread.sleep(Math.max(1, Math.min(nextMs, untilMs) - ControllerProcess.nowMs()));
+        }
+        return nextMs;
+    }
+
+    /** Prints where things stand, every tenth time, and notes when the spread is back. */
+    private void printSample(Cluster cluster, SpreadSamples spread) {
+        samples++;
+        long atMs = samples * SAMPLE_MS;
+        if (returnedMs < 0 && atMs > doublesMs && spread.last() <= spread.bound()) {
+            returnedMs = atMs - doublesMs;
+        }
+        if (samples % PRINT_EVERY == 0) {
+            print(
+                    "%d s: spread %.2f, %d machines, %d tasks",
+                    atMs / 1_000,
+                    spread.last(),
+                    cluster.machines().workers().size(),
+                    cluster.history().running());
+        }
+    }
+
+    private void report(Cluster cluster, SpreadSamples spread) {
+        TaskHistory history = cluster.history();
+        Histogram waits = waits(history);
+        int moves = 0;
+        int abandoned = 0;
+        double processorS = 0;
+        for (ControllerProcess controller : cluster.controllers()) {
+            moves += controller.all(Long.MIN_VALUE, text -> text.contains("moved: ")).size();
+            abandoned +=
+                    controller.all(Long.MIN_VALUE, text -> text.contains(" abandoned, ")).size();
+            processorS += controller.processorS();
+        }
+        print(
+                "balancer %s, seed %d, %d machines, %d s",
+                on ? "on" : "off", seed, machines, endMs / 1_000);
+        print("spread of the hot team: %s", spread);
+        print("within the bound again %.0f s after the load doubled", returnedMs / 1_000.0);
+        print(
+                "tasks: %d started, %d complete, %d fetches; %d moved, %d moves abandoned",
+                history.starts(), history.complete(), history.fetches(), moves, abandoned);
+        print(
+                "wait to the first start: median %.1f s, 99%% %.1f s, most %.1f s",
+                waits.getValueAtPercentile(50) / 1_000.0,
+                waits.getValueAtPercentile(99) / 1_000.0,
+                waits.getMaxValue() / 1_000.0);
+        print(
+                "repeated work of the hot class: %.0f s of %.0f s done (%.4f)",
+                repeatedS(history), workedS(history), repeatedS(history) / workedS(history));
+        print("processor time of all controllers: %.1f s", processorS);
+    }
+
+    private Histogram waits(TaskHistory history) {
+        Histogram waits = new Histogram(2);
+        history.firstStartMs()
+                .forEach(
+                        (task, startMs) -> {
+                            String job = task.substring(0, task.indexOf('/'));
+                            waits.recordValue(Math.max(0, startMs - submittedMs.get(job)));
+                        });
+        return waits;
+    }
+
+    private double repeatedS(TaskHistory history) {
+        double seconds = 0;
+        for (Map.Entry<String, Double> e : history.repeatedS().entrySet()) {
+            boolean hot = jobs.get(e.getKey()).jobClass().equals(BookFairLoad.HOT_CLASS);
+            seconds += hot ? e.getValue() : 0;
+        }
+        return seconds;
+    }
+
+    private double workedS(TaskHistory history) {
+        double seconds = 0;
+        for (String task : history.completeTasks()) {
+            JobRequest job = jobs.get(task.substring(0, task.indexOf('/')));
+            JobProfile profile = job.profile();
+            seconds += job.jobClass().equals(BookFairLoad.HOT_CLASS) ? profile.runS() : 0;
+        }
+        return seconds;
+    }
+
+    private void check(TaskHistory history, SpreadSamples spread, BalanceSettings settings) {
+        if (!history.violations().isEmpty()) {
+            throw new IllegalStateException(String.join("; ", history.violations()));
+        }
+        if (on && spread.longestAboveMs() > RETURN_MS) {
+            throw new IllegalStateException(
+                    "the spread was above its margin for " + spread.longestAboveMs() + " ms");
+        }
+        double budget = settings.usualBudget().repeatedShare() * workedS(history);
+        if (on && repeatedS(history) > budget) {
+            throw new IllegalStateException(
+                    "repeated " + repeatedS(history) + " s, allowed are " + budget);
+        }
+    }
+
+    private static void print(String form, Object... values) {
+        System.out.println(String.format(Locale.ROOT, form, values));
+    }
+}
--- /dev/null
+++ b/src/main/java/org/shoreusher/measure/BookFairLoad.java
@@ -0,0 +1,105 @@
+package org.shoreusher.measure;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import org.apache.commons.math3.distribution.ExponentialDistribution;
+import org.apache.commons.math3.distribution.LogNormalDistribution;
+import org.apache.commons.math3.distribution.ZipfDistribution;
+import org.apache.commons.math3.random.RandomGenerator;
+import org.apache.commons.math3.random.Well19937c;
+import org.shoreusher.standin.JobProfile;
+
+/**
+ * The load of an evening on which one team's work doubles: long tasks of that team that share a few
+ * images, and short ones of another team. Jobs come at exponential intervals, sizes and run times
+ * are log-normal, and images are drawn by Zipf's law, all from one seed.
+ */
+final class BookFairLoad {
+    /** The team whose load doubles. */
+    static final String HOT_TEAM = "fair";
+
+    static final String OTHER_TEAM = "other";
+    static final String HOT_CLASS = "imposition";
+    private static final String OTHER_CLASS = "proofs";
+
+    /** A job with the moment at which it is submitted. */
+    record Arrival(long atMs, JobRequest job) {}
+
+    private static final double CPUS = 1;
+    private static final int IMAGES = 6;
+    private static final double IMAGE_EXPONENT = 1.2;
+    private static final double IMAGE_GB = 2;
+    private static final double TASKS_MEDIAN = 12;
+    private static final double TASKS_SIGMA = 0.5;
+    private static final double HOT_RUN_MEDIAN_S = 90;
+    private static final double OTHER_RUN_MEDIAN_S = 12;
+    private static final double RUN_SIGMA = 0.3;
+    private static final double SAVE_EVERY_S = 10;
+    private static final double SAVE_S = 0.5;
+
+    private final RandomGenerator random;
+    private final double fetchGbPerS;
+    private final LogNormalDistribution tasks;
+    private final ZipfDistribution images;
+    private int nextId = 1;
+
+    BookFairLoad(int seed, double fetchGbPerS) {
+        random = new Well19937c(seed);
+        this.fetchGbPerS = fetchGbPerS;
+        tasks = new LogNormalDistribution(random, Math.log(TASKS_MEDIAN), TASKS_SIGMA);
+        images = new ZipfDistribution(random, IMAGES, IMAGE_EXPONENT);
+    }
+
+    /**
+     * The arrivals of an evening in their order.
+     *
+     * @param cpus CPUs of all machines; the hot team wants a third of them, then two thirds, and
+     *     the other team an eighth
+     * @param doublesMs when the hot team's load doubles
+     */
+    List<Arrival> arrivals(double cpus, long doublesMs, long endMs) {
+        List<Arrival> all = new ArrayList<>();
+        add(all, 0, doublesMs, perSecond(cpus / 3, HOT_RUN_MEDIAN_S), true);
+        add(all, doublesMs, endMs, perSecond(cpus * 2 / 3, HOT_RUN_MEDIAN_S), true);
+        add(all, 0, endMs, perSecond(cpus / 8, OTHER_RUN_MEDIAN_S), false);
+        all.sort((a, b) -> Long.compare(a.atMs, b.atMs));
+        return all;
+    }
+
+    /** Jobs a second that keep so many CPUs busy. */
+    private static double perSecond(double cpus, double runS) {
+        return cpus / (TASKS_MEDIAN * CPUS * runS);
+    }
+
+    private void add(List<Arrival> to, long fromMs, long untilMs, double perSecond, boolean hot) {
+        ExponentialDistribution gapS = new ExponentialDistribution(random, 1 / perSecond);
+        double runMedianS = hot ? HOT_RUN_MEDIAN_S : OTHER_RUN_MEDIAN_S;
+        LogNormalDistribution runS =
+                new LogNormalDistribution(random, Math.log(runMedianS), RUN_SIGMA);
+        double atMs = fromMs;
+        while (atMs < untilMs) {
+            to.add(new Arrival((long) atMs, job(hot, runS.sample())));
+            atMs += gapS.sample() * 1_000;
+        }
+    }
+
+    private JobRequest job(boolean hot, double runS) {
+        String image = (hot ? "library-" : "proof-") + images.sample();
+        JobProfile profile =
+                new JobProfile(image, IMAGE_GB / fetchGbPerS, runS, SAVE_EVERY_S, SAVE_S);
+        return new JobRequest(
+                String.format("wk-%06d", nextId++),
+                hot ? HOT_CLASS : OTHER_CLASS,
+                hot ? HOT_TEAM : OTHER_TEAM,
+                (int) Math.max(1, Math.round(tasks.sample())),
+                CPUS,
+                IMAGE_GB,
+                profile);
+    }
+
+    /** The limit of each team: all machines. */
+    static Map<String, Double> teams(double cpus) {
+        return Map.of(HOT_TEAM, cpus, OTHER_TEAM, cpus);
+    }
+}
--- a/src/main/java/org/shoreusher/measure/Cluster.java
+++ b/src/main/java/org/shoreusher/measure/Cluster.java
@@ -182,10 +182,10 @@
     }
 
     @Override
-    public void close() throws IOException, InterruptedException {
+    public void close() throws IOException {
         for (ControllerProcess controller : controllers) {
             if (controller.alive()) {
-                controller.kill();
+                controller.end();
             }
         }
         machines.stop();
--- a/src/main/java/org/shoreusher/measure/ControllerProcess.java
+++ b/src/main/java/org/shoreusher/measure/ControllerProcess.java
@@ -61,6 +61,11 @@
         process.destroyForcibly().waitFor();
     }
 
+    /** Ends it without waiting until it has ended. */
+    void end() {
+        process.destroyForcibly();
+    }
+
     boolean alive() {
         return process != null && process.isAlive();
     }
--- a/src/main/java/org/shoreusher/measure/FleetMeasurement.java
+++ b/src/main/java/org/shoreusher/measure/FleetMeasurement.java
@@ -32,11 +32,16 @@
 
     /** Runs the measurement. */
     public static void main(String[] args) throws Exception {
-        Options options = new Options().addOption("m", "machines", true, "machines, default 4000");
+        Options options =
+                new Options()
+                        .addOption("m", "machines", true, "machines, default 4000")
+                        .addOption("t", "tasks", true, "tasks on each machine, default 1");
         int code = 0;
         try {
             CommandLine line = new DefaultParser().parse(options, args);
-            measure(Integer.parseInt(line.getOptionValue("machines", "4000")));
+            measure(
+                    Integer.parseInt(line.getOptionValue("machines", "4000")),
+                    Integer.parseInt(line.getOptionValue("tasks", "1")));
         } catch (ParseException | NumberFormatException | IllegalStateException e) {
             System.err.println("measurement failed: " + e.getMessage());
             code = 1;
@@ -44,7 +49,8 @@
         System.exit(code);
     }
 
-    private static void measure(int machines) throws Exception {
+    private static void measure(int machines, int tasksEach) throws Exception {
+        int tasks = machines * tasksEach;
         Cluster.Shape shape =
                 new Cluster.Shape(
                         3,
@@ -57,17 +63,14 @@
         try (Cluster cluster = new Cluster(shape)) {
             cluster.start();
             long beganMs = ControllerProcess.nowMs();
-            for (int first = 0; first < machines; first += TASKS_OF_JOB) {
-                cluster.submit(job(first, Math.min(TASKS_OF_JOB, machines - first)));
+            for (int first = 0; first < tasks; first += TASKS_OF_JOB) {
+                cluster.submit(job(first, Math.min(TASKS_OF_JOB, tasks - first), tasksEach));
             }
-            Cluster.await(
-                    "every machine runs a task",
-                    ALL_UP_S,
-                    () -> cluster.history().running() == machines);
-            print("machines with a task: %d, after %.1f s", machines, sinceS(beganMs));
+            awaitAll(cluster, tasks);
+            print("%d machines, %d tasks run after %.1f s", machines, tasks, sinceS(beganMs));
             steady(cluster);
             for (int i = 0; i < TAKEOVERS; i++) {
-                takeover(cluster, machines);
+                takeover(cluster, tasks);
             }
             steady(cluster);
             if (!cluster.history().violations().isEmpty()) {
@@ -76,10 +79,16 @@
         }
     }
 
-    private static JobRequest job(int first, int tasks) {
+    private static JobRequest job(int first, int tasks, int tasksEach) {
         String id = String.format("wk-%06d", first + 1);
         return new JobRequest(
-                id, "c", "team", tasks, CPUS, 0.1, new JobProfile("image", 0.1, RUN_S, 0, 0));
+                id,
+                "c",
+                "team",
+                tasks,
+                CPUS / tasksEach,
+                0.1,
+                new JobProfile("image", 0.1, RUN_S, 0, 0));
     }
 
     /** Prints what each controller holds and uses while nothing changes. */
@@ -103,7 +112,7 @@
     }
 
     /** Kills the owner, waits until another knows all machines, and starts the killed one again. */
-    private static void takeover(Cluster cluster, int machines) throws Exception {
+    private static void takeover(Cluster cluster, int tasks) throws Exception {
         ControllerProcess killed = cluster.owner();
         int running = cluster.history().running();
         long killedMs = ControllerProcess.nowMs();
@@ -124,10 +133,11 @@
                 cluster.history().running(),
                 rebuilt.text().replaceAll(".*rebuilt", "rebuilt"));
         killed.start();
-        Cluster.await(
-                "every machine runs a task",
-                ALL_UP_S,
-                () -> cluster.history().running() == machines);
+        awaitAll(cluster, tasks);
+    }
+
+    private static void awaitAll(Cluster cluster, int tasks) throws InterruptedException {
+        Cluster.await("all tasks run", ALL_UP_S, () -> cluster.history().running() == tasks);
     }
 
     private static double sinceS(long beganMs) {
--- a/src/main/java/org/shoreusher/standin/CloudStandIn.java
+++ b/src/main/java/org/shoreusher/standin/CloudStandIn.java
@@ -38,6 +38,11 @@
         this.workers = workers;
     }
 
+    /** What it offers. */
+    public Offer offer() {
+        return offer;
+    }
+
     /** Answers one request. */
     public synchronized Response handle(Request request) throws FieldMap.Missing {
         return switch (request.line()) {
--- a/src/main/java/org/shoreusher/standin/TaskHistory.java
+++ b/src/main/java/org/shoreusher/standin/TaskHistory.java
@@ -16,6 +16,7 @@
     private final Map<String, String> machines = new HashMap<>();
     private final Map<String, Double> savedS = new HashMap<>();
     private final Map<String, Double> repeatedS = new HashMap<>();
+    private final Map<String, Long> firstStartMs = new HashMap<>();
     private final Set<String> complete = new HashSet<>();
     private final List<String> violations = new ArrayList<>();
     private int starts;
@@ -24,6 +25,7 @@
     /** A task begins to run; returns the seconds of progress that it goes on from. */
     synchronized double started(String task, String machine) {
         starts++;
+        firstStartMs.putIfAbsent(task, System.nanoTime() / 1_000_000);
         String before = machines.put(task, machine);
         if (before != null) {
             violations.add(task + " began on " + machine + " while on " + before);
@@ -58,7 +60,22 @@
         return machines.size();
     }
 
-    /** Tasks that have completed. */
+    /** Where each task that runs now is. */
+    public synchronized Map<String, String> runningOn() {
+        return new HashMap<>(machines);
+    }
+
+    /** When each task first began, in ms of {@link System#nanoTime}. */
+    public synchronized Map<String, Long> firstStartMs() {
+        return new HashMap<>(firstStartMs);
+    }
+
+    /** The tasks that have completed. */
+    public synchronized Set<String> completeTasks() {
+        return new HashSet<>(complete);
+    }
+
+    /** How many tasks have completed. */
     public synchronized int complete() {
         return complete.size();
     }
--- a/src/main/java/org/shoreusher/standin/WorkerStandIn.java
+++ b/src/main/java/org/shoreusher/standin/WorkerStandIn.java
@@ -44,6 +44,7 @@
             Function<String, JobProfile> profiles,
             TaskHistory history) {}
 
+    /** Where a task stands, with the word that reports use for it. */
     private enum State {
         FETCHING("pulling"),
         RUNNING("running"),
@@ -57,6 +58,7 @@
         }
     }
 
+    /** A task on this machine. */
     private static final class Task {
         private final String name;
         private final long attempt;
--- a/src/test/java/org/shoreusher/balance/BalancerTest.java
+++ b/src/test/java/org/shoreusher/balance/BalancerTest.java
@@ -139,13 +139,19 @@
             fleet.task(1, 1, 300, 10);
         }
         assertEquals(List.of(), fleet.plan(), "nothing has been done yet");
-        fleet.balancer.budget().worked("c", 100);
+        // Two tasks on machines for 50 s.
+        fleet.balancer.budget().taskAdded("c", 0);
+        fleet.balancer.budget().taskAdded("c", 0);
+        fleet.nowMs = 50_000;
         List<Move> one = fleet.plan();
         assertEquals(1, one.size());
         fleet.balancer.leftSource(one.get(0), false, 0);
         assertEquals(10, fleet.balancer.budget().repeatedS("c"));
         assertEquals(List.of(), fleet.plan(), "the save has failed");
-        fleet.balancer.budget().worked("c", 100);
+        fleet.balancer.budget().taskRemoved("c", 50_000);
+        fleet.nowMs = 149_000;
+        assertEquals(List.of(), fleet.plan(), "one task more for 99 s");
+        fleet.nowMs = 150_000;
         assertEquals(1, fleet.plan().size());
     }
 
--- a/src/test/java/org/shoreusher/balance/LoadModelTest.java
+++ b/src/test/java/org/shoreusher/balance/LoadModelTest.java
@@ -16,6 +16,7 @@
 class LoadModelTest {
     private static final double EPSILON = 1e-9;
 
+    /** A task that the test has booked. */
     private record Booked(String machine, String team, double cpus) {}
 
     @Property(tries = 100, seed = "5", shrinking = ShrinkingMode.OFF)
--- a/src/test/java/org/shoreusher/model/ClusterModelTest.java
+++ b/src/test/java/org/shoreusher/model/ClusterModelTest.java
@@ -102,7 +102,7 @@
                 () -> "seed " + seed + "\n" + String.join("\n", w.log));
         assertTrue(w.rules.starts > 100, "hardly anything ran: " + w.rules.starts);
         assertTrue(w.copies > 10, "hardly any late copies: " + w.copies);
-        assertTrue(w.repeats > 100, "hardly any repeats: " + w.repeats);
+        assertTrue(w.network.repeats > 100, "hardly any repeats: " + w.network.repeats);
     }
 
     @Property(tries = 15, seed = "815", shrinking = ShrinkingMode.OFF)
--- a/src/test/java/org/shoreusher/model/FormerOwner.java
+++ b/src/test/java/org/shoreusher/model/FormerOwner.java
@@ -87,7 +87,7 @@
     void send(Map<String, Long> guards, Map<String, Map<String, Object>> writes, IntConsumer then) {
         StateOp.Multi op = new StateOp.Multi(guards, writes);
         boolean[] answered = {false};
-        world.send(
+        world.network.send(
                 host,
                 "state",
                 () ->
--- a/src/test/java/org/shoreusher/model/LargestFleetTest.java
+++ b/src/test/java/org/shoreusher/model/LargestFleetTest.java
@@ -30,7 +30,7 @@
         w.run(
                 190_000,
                 List.of(
-                        new Trouble(ZONE_CUT_MS, x -> x.cutZone("b", "node-1", 35_000)),
+                        new Trouble(ZONE_CUT_MS, x -> x.network.cutZone("b", "node-1", 35_000)),
                         new Trouble(
                                 TAKEOVER_MS, x -> Troubles.owners(x).forEach(p -> p.kill(4_000)))));
         w.rules.end();
--- a/src/test/java/org/shoreusher/model/MeetingsTest.java
+++ b/src/test/java/org/shoreusher/model/MeetingsTest.java
@@ -71,7 +71,7 @@
                     w -> {
                         Troubles.cutFromStateAndPeers(w, w.processes.get(node), length);
                     };
-            case 11 -> w -> w.cutZone("b", host, length);
+            case 11 -> w -> w.network.cutZone("b", host, length);
             case 12 ->
                     w -> {
                         // Leaders change ten times.
--- /dev/null
+++ b/src/test/java/org/shoreusher/model/MoveStepsTest.java
@@ -0,0 +1,191 @@
+package org.shoreusher.model;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertNotEquals;
+import static org.junit.jupiter.api.Assertions.assertNull;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import net.jqwik.api.Example;
+import org.shoreusher.balance.BalanceSettings;
+import org.shoreusher.balance.BalanceSettings.ClassBudget;
+import org.shoreusher.core.JobSpec;
+import org.shoreusher.core.JobSpecBuilder;
+import org.shoreusher.core.WorkerReport.Cause;
+import org.shoreusher.settings.Features;
+import org.shoreusher.settings.SettingsBuilder;
+
+/** The steps of one move, message by message. */
+class MoveStepsTest {
+    /** One move at a time. */
+    private static final Features FEATURES =
+            new Features(
+                    new BalanceSettings(
+                            0.1, 0.02, 0.05, 1, 1, 1, 5, 1, new ClassBudget(1, 1), Map.of()));
+
+    private static final int MACHINES = 4;
+    private static final int TASKS = 8;
+
+    private SingleNode node = new SingleNode(ModelSettings.roomy(), FEATURES);
+    private final List<ScriptedWorker> workers = new ArrayList<>();
+
+    private static JobSpec job() {
+        return new JobSpecBuilder("wk-000001")
+                .tasks(TASKS)
+                .cpus(1)
+                .estimateS(500)
+                .checkpointS(10)
+                .saveS(1)
+                .build();
+    }
+
+    private void reportAll() {
+        node.steps(15);
+        workers.forEach(ScriptedWorker::report);
+    }
+
+    private ScriptedWorker first() {
+        return workers.get(0);
+    }
+
+    /**
+     * Four machines, the first of which has all tasks of the only job.
+     *
+     * @param silent machines of the owner before, which never report
+     */
+    private void crowd(String... silent) {
+        node.left(silent);
+        node.steps(20);
+        workers.add(new ScriptedWorker(node, "host-1"));
+        for (int i = 0; i < 3; i++) {
+            reportAll();
+        }
+        node.openJob(job());
+        for (int i = 0; i < 5 && first().shown() < TASKS; i++) {
+            reportAll();
+        }
+        assertEquals(TASKS, first().shown(), "all on the first machine");
+        // The others come late: one that is idle for 20 s is returned, and a task is moved only
+        // when it has run for longer.
+        for (int i = 0; i < 28; i++) {
+            reportAll();
+        }
+        for (int i = 2; i <= MACHINES; i++) {
+            workers.add(new ScriptedWorker(node, "host-" + i));
+        }
+    }
+
+    /** Reports until a task of the first machine is told to stop; returns it, or null. */
+    private String awaitStop(int reports) {
+        for (int i = 0; i < reports; i++) {
+            reportAll();
+            if (!first().halted.isEmpty()) {
+                assertEquals(1, first().halted.size(), "one move at a time");
+                return first().halted.get(0);
+            }
+        }
+        return null;
+    }
+
+    private List<ScriptedWorker.Started> startedElsewhere() {
+        return workers.stream().skip(1).flatMap(w -> w.started.stream()).toList();
+    }
+
+    @Example
+    void theTargetGetsTheTaskOnlyAfterTheSourceHasShownItsEnd() {
+        crowd();
+        String task = awaitStop(20);
+        for (int i = 0; i < 3; i++) {
+            reportAll();
+            assertEquals(List.of(task), first().halted, "told again until it is gone");
+            assertEquals(List.of(), startedElsewhere(), "still on its source");
+        }
+        first().exit(task, Cause.STOPPED, true);
+        reportAll();
+        List<ScriptedWorker.Started> started = startedElsewhere();
+        assertEquals(List.of(task), started.stream().map(ScriptedWorker.Started::task).toList());
+        assertTrue(node.log.stream().anyMatch(l -> l.startsWith("moved: " + task)), "no log line");
+        reportAll();
+        assertEquals(List.of(), startedElsewhere(), "once only");
+    }
+
+    /** A copy of an older report no longer shows the task, as it was made before its start. */
+    @Example
+    void anOldReportOfTheSourceStartsNothing() {
+        crowd();
+        long before = 1;
+        String task = awaitStop(50);
+        assertNotEquals(null, task);
+        assertNull(node.report("host-1", before, first().token), "refused");
+        workers.stream().skip(1).forEach(ScriptedWorker::report);
+        assertEquals(List.of(), startedElsewhere());
+    }
+
+    @Example
+    void aTaskThatCompletesBeforeItIsStoppedIsNotStartedAgain() {
+        crowd();
+        String task = awaitStop(50);
+        first().exit(task, Cause.DONE, false);
+        for (int i = 0; i < 4; i++) {
+            reportAll();
+            startedElsewhere().forEach(s -> assertNotEquals(task, s.task()));
+        }
+        assertTrue(node.log.contains("move: " + task + " had completed before it was stopped"));
+    }
+
+    /** Room at the target is kept: work that comes meanwhile does not take it. */
+    @Example
+    void theRoomAtTheTargetIsKept() {
+        crowd();
+        String task = awaitStop(50);
+        String line = node.log.get(node.log.size() - 1);
+        node.openJob(
+                new JobSpecBuilder("wk-000002")
+                        .team("team-1")
+                        .tasks(3)
+                        .cpus(8)
+                        .estimateS(500)
+                        .build());
+        for (int i = 0; i < 4; i++) {
+            reportAll();
+        }
+        long filled = workers.stream().skip(1).filter(w -> w.shown() == 1).count();
+        assertEquals(2, filled, () -> "the third machine waits for " + task + ": " + line);
+        first().exit(task, Cause.STOPPED, true);
+        reportAll();
+        assertEquals(3, workers.stream().skip(1).filter(w -> w.shown() == 1).count());
+    }
+
+    /** What an owner before has begun is not moved: how often it was moved is not known. */
+    @Example
+    void jobsOfAnOwnerBeforeAreNotMoved() {
+        node.left("host-1");
+        node.openJob(job());
+        node.steps(20);
+        for (int i = 1; i <= MACHINES; i++) {
+            workers.add(new ScriptedWorker(node, "host-" + i));
+        }
+        first().token = 6;
+        for (int i = 0; i < TASKS; i++) {
+            first().runs("wk-000001/" + i, 5);
+        }
+        assertNull(awaitStop(60));
+    }
+
+    /**
+     * While a machine that may hold tasks is silent, nothing is moved; workers' leases are longer
+     * here than a start must be old to be moved.
+     */
+    @Example
+    void nothingIsMovedDuringARebuild() {
+        node =
+                new SingleNode(
+                        new SettingsBuilder(ModelSettings.roomy()).workers(1.5, 60, 200).build(),
+                        FEATURES);
+        crowd("host-9");
+        assertNull(awaitStop(20));
+        assertTrue(node.log.stream().noneMatch(l -> l.startsWith("rebuilt")), "rebuilt too soon");
+    }
+}
--- a/src/test/java/org/shoreusher/model/MovesTest.java
+++ b/src/test/java/org/shoreusher/model/MovesTest.java
@@ -152,7 +152,8 @@
                     switch (w.random.nextInt(3)) {
                         case 0 -> target.deafen(20_000);
                         case 1 -> target.hang(15_000);
-                        default -> w.processes.forEach(p -> w.cut(p.host, target.id, 15_000));
+                        default ->
+                                w.processes.forEach(p -> w.network.cut(p.host, target.id, 15_000));
                     }
                 },
                 "abandoned, target");
@@ -164,7 +165,7 @@
                 (w, begun) -> {
                     WorkerModel source = begun.source(w);
                     if (w.random.nextBoolean()) {
-                        w.processes.forEach(p -> w.cut(p.host, source.id, 30_000));
+                        w.processes.forEach(p -> w.network.cut(p.host, source.id, 30_000));
                     } else {
                         source.hang(7_000 + w.random.nextInt(20_000));
                     }
--- a/src/test/java/org/shoreusher/model/OwnerLossTest.java
+++ b/src/test/java/org/shoreusher/model/OwnerLossTest.java
@@ -157,7 +157,7 @@
             w.run(
                     200_000,
                     List.of(
-                            new Trouble(40_000, x -> x.cutZone("b", "node-1", 35_000)),
+                            new Trouble(40_000, x -> x.network.cutZone("b", "node-1", 35_000)),
                             new Trouble(45_000, x -> Troubles.owners(x).forEach(p -> p.kill(300))),
                             new Trouble(70_000, x -> x.processes.get(2).starve(12_000)),
                             new Trouble(
--- a/src/test/java/org/shoreusher/model/Rules.java
+++ b/src/test/java/org/shoreusher/model/Rules.java
@@ -51,10 +51,10 @@
         WorkerModel other = on.put(task, machine);
         if (other != null) {
             broken("ran_twice", task + " on " + machine.id + " while on " + other.id);
-            usage.count(w.spec, other.zone, -1);
+            usage.count(w.spec, other, -1);
         }
         JobSpec spec = w.spec;
-        usage.count(spec, machine.zone, 1);
+        usage.count(spec, machine, 1);
         startsAfterCancel += w.cancelTold ? 1 : 0;
         double used = usage.cpus(spec.team());
         double usedGpus = usage.gpus(spec.team());
@@ -64,6 +64,9 @@
                 || usedGpus > world.settings.teams().get(spec.team()).gpusMax()) {
             broken("quota", spec.team() + " uses " + used + " CPUs, " + usedGpus + " GPUs");
         }
+        if (usage.cpusOn(machine) > CloudModel.cpus(machine.type)) {
+            broken("no_room", task + " makes " + usage.cpusOn(machine) + " on " + machine.id);
+        }
         if (!spec.allows(machine.type, machine.zone, machine.spot)
                 || (spec.oneZone() && inZone != ofJob)
                 || (spec.spread() && inZone > (spec.tasks() + 1) / 2)) {
@@ -82,7 +85,7 @@
         if (on.get(task) == machine) {
             on.remove(task);
             JobSpec spec = world.users.wishes.get(task.substring(0, task.indexOf('/'))).spec;
-            usage.count(spec, machine.zone, -1);
+            usage.count(spec, machine, -1);
             checkCancelled(task, world.users.wishes.get(task.substring(0, task.indexOf('/'))));
         }
     }
--- /dev/null
+++ b/src/test/java/org/shoreusher/model/ScriptedWorker.java
@@ -0,0 +1,89 @@
+package org.shoreusher.model;
+
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import org.shoreusher.core.WorkerReport.Cause;
+import org.shoreusher.core.WorkerReport.TaskReport;
+import org.shoreusher.core.WorkerReport.TaskState;
+
+/** A worker that reports when a test says so and notes its orders; nothing happens by itself. */
+final class ScriptedWorker {
+    /** A task that was started here, with the attempt. */
+    record Started(String task, long attempt) {}
+
+    private final SingleNode node;
+    private final String id;
+    private final Map<String, TaskReport> tasks = new LinkedHashMap<>();
+    private long sequence;
+
+    /** The token that its reports show. */
+    long token;
+
+    /** What the last report's answer started, and which tasks it told to stop. */
+    List<Started> started = List.of();
+
+    List<String> halted = List.of();
+
+    ScriptedWorker(SingleNode node, String id) {
+        this.node = node;
+        this.id = id;
+    }
+
+    /** Reports, and carries out starts and the removal of tasks; stops are only noted. */
+    void report() {
+        reportAs(++sequence);
+    }
+
+    /** The number of its next report. */
+    long nextSequence() {
+        return sequence + 1;
+    }
+
+    void reportAs(long number) {
+        node.report(id, number, token, tasks.values().toArray(new TaskReport[0]));
+        started = new ArrayList<>();
+        halted = new ArrayList<>();
+        List<Map<?, ?>> orders = node.ordersOfLast();
+        if (orders != null) {
+            orders.forEach(this::carryOut);
+        }
+    }
+
+    private void carryOut(Map<?, ?> order) {
+        String name = (String) order.get("sheet");
+        long attempt = ((Number) order.get("try")).longValue();
+        switch ((String) order.get("verb")) {
+            case "run" -> {
+                started.add(new Started(name, attempt));
+                put(name, attempt, TaskState.RUNNING, Cause.NONE, false);
+            }
+            case "halt" -> halted.add(name);
+            default -> tasks.remove(name);
+        }
+    }
+
+    /** The task has ended here. */
+    void exit(String name, Cause cause, boolean saved) {
+        put(name, tasks.get(name).attempt(), TaskState.EXITED, cause, saved);
+    }
+
+    /** The task runs here under an attempt of an owner before. */
+    void runs(String name, long attempt) {
+        put(name, attempt, TaskState.RUNNING, Cause.NONE, false);
+    }
+
+    /** Tasks that it shows. */
+    int shown() {
+        return tasks.size();
+    }
+
+    private void put(String name, long attempt, TaskState state, Cause cause, boolean saved) {
+        int slash = name.indexOf('/');
+        int index = Integer.parseInt(name.substring(slash + 1));
+        tasks.put(
+                name,
+                new TaskReport(name.substring(0, slash), index, attempt, state, cause, saved));
+    }
+}
--- a/src/test/java/org/shoreusher/model/ServiceTroublesTest.java
+++ b/src/test/java/org/shoreusher/model/ServiceTroublesTest.java
@@ -135,7 +135,7 @@
                     TROUBLE_MS + 40_000,
                     x -> {
                         WorkerModel m = withTasks(x).get(0);
-                        x.processes.forEach(p -> x.cut(p.host, m.id, 60_000));
+                        x.processes.forEach(p -> x.network.cut(p.host, m.id, 60_000));
                     });
             assertEquals(0, downAfterLease[0], log(w));
         }
--- a/src/test/java/org/shoreusher/model/SingleNode.java
+++ b/src/test/java/org/shoreusher/model/SingleNode.java
@@ -39,8 +39,12 @@
     }
 
     SingleNode(Settings settings) {
+        this(settings, Features.NONE);
+    }
+
+    SingleNode(Settings settings, Features features) {
         world = new World(0, settings, 1, Sabotage.NONE);
-        node = new Node(settings, Features.NONE, "node-0/1", 1);
+        node = new Node(settings, features, "node-0/1", 1);
     }
 
     void steps(int count) {
@@ -107,12 +111,19 @@
                                 Double.NaN,
                                 List.of(tasks))));
         steps(1);
-        Effect.Answer answer = answers.get(request);
+        List<Map<?, ?>> orders = ordersOfLast();
+        return orders == null ? null : orders.stream().map(o -> (String) o.get("verb")).toList();
+    }
+
+    /** The orders in the answer to the last report; null if it was refused. */
+    List<Map<?, ?>> ordersOfLast() {
+        Effect.Answer answer = answers.get(requests);
         if (answer.status() != 200) {
             return null;
         }
-        return ((List<?>) answer.body().get("orders"))
-                .stream().map(o -> (String) ((Map<?, ?>) o).get("verb")).toList();
+        List<Map<?, ?>> orders = new ArrayList<>();
+        ((List<?>) answer.body().get("orders")).forEach(o -> orders.add((Map<?, ?>) o));
+        return orders;
     }
 
     void stored(String key, Map<String, Object> value) {
@@ -227,19 +238,23 @@
     }
 
     void openJob(String id, int tasks, double cpus) {
+        openJob(spec(id, tasks, cpus, false));
+    }
+
+    void openJob(JobSpec spec) {
         stored(
-                "job/" + id,
+                "job/" + spec.id(),
                 Map.of(
                         "part",
                         0L,
                         "status",
                         "OPEN",
                         "tasks",
-                        (long) tasks,
+                        (long) spec.tasks(),
                         "accepted",
                         now,
                         "spec",
-                        UserFormat.map(spec(id, tasks, cpus, false))));
+                        UserFormat.map(spec)));
     }
 
     private static JobSpec spec(String id, int tasks, double cpus, boolean oneZone) {
--- a/src/test/java/org/shoreusher/model/Troubles.java
+++ b/src/test/java/org/shoreusher/model/Troubles.java
@@ -43,12 +43,12 @@
             case 1 -> w -> w.processes.forEach(p -> p.kill(200 + w.random.nextInt(4_000)));
             case 2 -> w -> w.state.outage(length);
             case 3 -> w -> w.state.refuse(host, length);
-            case 4 -> w -> w.cut(host, "state", length);
+            case 4 -> w -> w.network.cut(host, "state", length);
             case 5 -> w -> w.processes.get(node).starve(length / 2);
             case 6 ->
                     w -> {
                         for (WorkerModel m : w.cloud.machines()) {
-                            w.cut(host, m.id, length);
+                            w.network.cut(host, m.id, length);
                         }
                     };
             case 7 ->
@@ -75,7 +75,7 @@
         String host = "node-" + node;
         return switch (kind) {
             case 9 -> w -> w.cloud.outage(length);
-            case 10 -> w -> w.processes.forEach(p -> w.cut(host, p.host, length));
+            case 10 -> w -> w.processes.forEach(p -> w.network.cut(host, p.host, length));
             case 11 ->
                     w -> {
                         for (int p = 0; p < nodes; p++) {
@@ -101,20 +101,20 @@
                     w -> {
                         // Without state service and peers, but with its
                         // workers.
-                        w.cut(host, "state", length);
-                        w.processes.forEach(p -> w.cut(host, p.host, length));
+                        w.network.cut(host, "state", length);
+                        w.processes.forEach(p -> w.network.cut(host, p.host, length));
                     };
             case 15 ->
                     w -> {
                         endNextTakers(w, 1);
                         w.processes.get(node).kill(100 + length / 4);
                     };
-            case 16 -> w -> w.cutZone("b", host, length);
+            case 16 -> w -> w.network.cutZone("b", host, length);
             default ->
                     w -> {
                         for (WorkerModel m : w.cloud.machines()) {
                             if (w.random.nextInt(3) == 0) {
-                                w.processes.forEach(p -> w.cut(p.host, m.id, length));
+                                w.processes.forEach(p -> w.network.cut(p.host, m.id, length));
                             }
                         }
                     };
@@ -133,12 +133,12 @@
     }
 
     static void cutFromStateAndPeers(World w, World.Process process, long forMs) {
-        w.cut(process.host, "state", forMs);
-        w.processes.forEach(other -> w.cut(process.host, other.host, forMs));
+        w.network.cut(process.host, "state", forMs);
+        w.processes.forEach(other -> w.network.cut(process.host, other.host, forMs));
     }
 
     static void cutFromWorkers(World w, World.Process process, long forMs) {
-        w.cloud.machines().forEach(machine -> w.cut(process.host, machine.id, forMs));
+        w.cloud.machines().forEach(machine -> w.network.cut(process.host, machine.id, forMs));
     }
 
     /** For each part, the process that took it last. */
--- a/src/test/java/org/shoreusher/model/UserModel.java
+++ b/src/test/java/org/shoreusher/model/UserModel.java
@@ -167,14 +167,14 @@
                         again.run();
                     }
                 });
-        world.send(
+        world.network.send(
                 "user",
                 node.host,
                 () ->
                         node.request(
                                 command,
                                 answer ->
-                                        world.send(
+                                        world.network.send(
                                                 node.host,
                                                 "user",
                                                 () -> {
--- a/src/test/java/org/shoreusher/model/WorkerModel.java
+++ b/src/test/java/org/shoreusher/model/WorkerModel.java
@@ -224,7 +224,7 @@
         if (world.now < muteUntil) {
             return;
         }
-        world.send(
+        world.network.send(
                 id,
                 node.host,
                 () -> {
@@ -232,7 +232,7 @@
                         node.request(
                                 n -> new Command.Report(n, report),
                                 answer ->
-                                        world.send(
+                                        world.network.send(
                                                 node.host,
                                                 id,
                                                 () -> heard(answer, sentAt, ofSession, ofFlight)));
--- a/src/test/java/org/shoreusher/model/World.java
+++ b/src/test/java/org/shoreusher/model/World.java
@@ -62,17 +62,13 @@
     final List<Process> processes = new ArrayList<>();
     final List<String> log = new ArrayList<>();
 
-    /** Pairs of hosts that a cut separates, with its end. */
-    private final Map<String, Long> cuts = new HashMap<>();
-
+    final Network network = new Network(this);
     private long orders;
     long now;
 
-    /** Late copies of reports that have come, and repeats of messages of any kind. */
+    /** Late copies of reports that have come. */
     int copies;
 
-    int repeats;
-
     /** Whether copies of reports are kept until a new owner begins, and then come to every node. */
     boolean keepReports;
 
@@ -153,41 +149,6 @@
         at(now + delay, what);
     }
 
-    /** Cuts two hosts off from each other: what they send is held until the end. */
-    void cut(String a, String b, long forMs) {
-        cuts.put(pair(a, b), now + forMs);
-    }
-
-    private static String pair(String a, String b) {
-        return a.compareTo(b) < 0 ? a + "|" + b : b + "|" + a;
-    }
-
-    /**
-     * Delivers a message after some ms; held by a cut, it comes after it. One in 500 comes twice as
-     * late as a timeout, and one in 80 comes once more, up to 40 s later: submissions,
-     * cancellations, transactions, rentals, returns, direct commands, hints, and all their answers.
-     */
-    void send(String from, String to, Runnable arrive) {
-        long delay = 1 + random.nextInt(8);
-        // More of them where late answers are to do harm.
-        if (random.nextInt(sabotage == Sabotage.LATE_ANSWERS_EXECUTED ? 12 : 500) == 0) {
-            delay += 2_000 + random.nextInt(4_000);
-        }
-        long until = cuts.getOrDefault(pair(from, to), 0L);
-        at(Math.max(now, until) + delay, arrive);
-        if (random.nextInt(80) == 0) {
-            at(
-                    Math.max(now, until)
-                            + delay
-                            + 1
-                            + random.nextInt(random.nextBoolean() ? 200 : 40_000),
-                    () -> {
-                        repeats++;
-                        arrive.run();
-                    });
-        }
-    }
-
     /** Copies of reports come to every node just as a new owner begins. */
     private void deliverKept() {
         for (WorkerReport r : List.copyOf(kept)) {
@@ -201,26 +162,6 @@
         kept.clear();
     }
 
-    /**
-     * Cuts a zone off from everything: its machines and the node that is in it still reach each
-     * other.
-     */
-    void cutZone(String zone, String nodeInIt, long forMs) {
-        cut(nodeInIt, "state", forMs);
-        cut(nodeInIt, "cloud", forMs);
-        cut(nodeInIt, "user", forMs);
-        for (Process p : processes) {
-            if (!p.host.equals(nodeInIt)) {
-                cut(nodeInIt, p.host, forMs);
-                for (WorkerModel m : cloud.machines()) {
-                    if (m.zone.equals(zone)) {
-                        cut(p.host, m.id, forMs);
-                    }
-                }
-            }
-        }
-    }
-
     static Map<String, Object> copy(Map<String, Object> value) {
         try {
             return value == null ? null : FieldMap.cbor(FieldMap.toCbor(value)).asMap();
@@ -390,12 +331,12 @@
             } else if (effect instanceof Effect.Orders o) {
                 WorkerModel w = cloud.byAddress(o.address());
                 if (w != null) {
-                    send(host, w.id, () -> w.direct(o));
+                    network.send(host, w.id, () -> w.direct(o));
                 }
             } else if (effect instanceof Effect.Tell t) {
                 for (Process p : processes) {
                     if (p != this) {
-                        send(host, p.host, () -> p.take(new Command.PeerHint(t.hint())));
+                        network.send(host, p.host, () -> p.take(new Command.PeerHint(t.hint())));
                     }
                 }
             } else if (effect instanceof Effect.Log l) {
@@ -420,14 +361,14 @@
                             back.answer(0, null);
                         }
                     });
-            send(
+            network.send(
                     host,
                     to,
                     () ->
                             execute.accept(
                                     (status, body) -> {
                                         Map<String, Object> copied = copy(body);
-                                        send(
+                                        network.send(
                                                 to,
                                                 host,
                                                 () -> {
