--- a/src/main/java/org/shoreusher/core/MachineLifecycle.java
+++ b/src/main/java/org/shoreusher/core/MachineLifecycle.java
@@ -43,8 +43,7 @@
         m.used = record.used();
         m.recordedUsed = record.used();
         // The owner before may have kept the worker's lease alive in its grace, as long as it
-        // believed this node to be
-        // without state service as well.
+        // believed this node to be without state service as well.
         m.answeredAtMs =
                 ownership.takenAtMs()
                         + Math.max(
--- a/src/main/java/org/shoreusher/core/MemberFormats.java
+++ b/src/main/java/org/shoreusher/core/MemberFormats.java
@@ -33,6 +33,12 @@
     private boolean writing;
     private long nextMs;
 
+    /**
+     * The members that are not known to understand services, this one included; null when the view
+     * has changed since it was worked out.
+     */
+    private List<String> oldMembers;
+
     /** The members that the last log line named as old; null before the first line. */
     private List<String> loggedOld;
 
@@ -47,6 +53,13 @@
         this.parts = parts;
     }
 
+    /** The view shows a change of a key. */
+    void changed(String key) {
+        if (key.startsWith(StoreSchema.NODE) || StoreSchema.isFence(key)) {
+            oldMembers = null;
+        }
+    }
+
     /** Notes what this node understands, and logs when services become enabled or disabled. */
     void step() {
         if (!view.loaded()) {
@@ -84,9 +97,12 @@
         return oldMembers().isEmpty();
     }
 
-    /** The members that are not known to understand services, this one included. */
     private List<String> oldMembers() {
-        return settings.hosts().filter(host -> understood(host) < SERVICES).sorted().toList();
+        if (oldMembers == null) {
+            oldMembers =
+                    settings.hosts().filter(host -> understood(host) < SERVICES).sorted().toList();
+        }
+        return oldMembers;
     }
 
     private long understood(String host) {
--- a/src/main/java/org/shoreusher/core/Node.java
+++ b/src/main/java/org/shoreusher/core/Node.java
@@ -154,6 +154,7 @@
     }
 
     private void changed(String key, StoreView.Entry before, StoreView.Entry after) {
+        formats.changed(key);
         if (key.startsWith(StoreSchema.JOB)) {
             if (after != null) {
                 String id = key.substring(StoreSchema.JOB.length());
--- a/src/main/java/org/shoreusher/core/Outbox.java
+++ b/src/main/java/org/shoreusher/core/Outbox.java
@@ -35,8 +35,7 @@
     Outbox(Settings s, int parts) {
         int owners = Math.min(s.nodes(), parts);
         // The shares of owners' and users' writes add up to a little more than the rate, since they
-        // seldom
-        // come together; a 429 is then answered like any refusal, by a later try.
+        // seldom come together; a 429 is then answered like any refusal, by a later try.
         double rate = s.stateRps() * Tuning.RATE_USE / s.nodes();
         double writes = s.stateWriteRps() * Tuning.RATE_USE;
         double owner = ownerWrites(s, parts);
--- a/src/main/java/org/shoreusher/core/Parts.java
+++ b/src/main/java/org/shoreusher/core/Parts.java
@@ -120,8 +120,7 @@
                 freeSinceMs[n] = out.now.steadyMs();
             }
             // Who holds fewer comes first, so that parts spread out; then who is younger, since a
-            // rolling
-            // restart comes back to that one last.
+            // rolling restart comes back to that one last.
             if (freeSinceMs[n] > 0
                     && out.now.steadyMs() - freeSinceMs[n]
                             >= peers.before(ownedCount()) * Tuning.TAKE_PAUSE_MS) {
--- a/src/main/java/org/shoreusher/core/Placement.java
+++ b/src/main/java/org/shoreusher/core/Placement.java
@@ -45,9 +45,8 @@
             return List.of();
         }
         // What has changed since the plan, on this machine, in the team's use or in the job, is
-        // looked at again. A job
-        // is placed once, its share and its rest together: the planner does not see what it has
-        // placed itself.
+        // looked at again. A job is placed once, its share and its rest together: the planner does
+        // not see what it has placed itself.
         Planner now =
                 new Planner(
                         new ArrayList<>(List.of(new Planner.Slot(m))),
--- a/src/main/java/org/shoreusher/core/Planner.java
+++ b/src/main/java/org/shoreusher/core/Planner.java
@@ -216,8 +216,7 @@
         }
         steps += slots.size();
         // By the share that is free: of two sizes the small ones would else always come before
-        // large ones with some room, and these,
-        // cheaper by the CPU, would stand nearly empty.
+        // large ones with some room, and these, cheaper by the CPU, would stand nearly empty.
         slots.forEach(
                 s ->
                         s.rank =
--- a/src/main/java/org/shoreusher/core/Reports.java
+++ b/src/main/java/org/shoreusher/core/Reports.java
@@ -57,9 +57,8 @@
             m = adopt(r);
         }
         // A report may have been held up since before the takeover and not show what the owner
-        // before started
-        // after it. Only one made by a worker that has seen this owner's term is surely newer than
-        // all that.
+        // before started after it. Only one made by a worker that has seen this owner's term is
+        // surely newer than all that.
         if (m != null
                 && m.inherited
                 && !m.heard
@@ -70,10 +69,8 @@
             return;
         }
         // A late report's sender has given up on it, and of a copy nobody waits for the answer; the
-        // task list is as old
-        // as the report. A machine whose handover is on its way may hold the next owner's tasks
-        // already, which are not
-        // this one's to judge.
+        // task list is as old as the report. A machine whose handover is on its way may hold the
+        // next owner's tasks already, which are not this one's to judge.
         if (m == null
                 || m.state == Machine.State.HANDING
                 || r.session() <= m.endedSession
@@ -131,8 +128,7 @@
                     : null;
         }
         // Nor one that an owner before has returned: what has been answered before and has no
-        // record is taken on only
-        // when the cloud says that it is there.
+        // record is taken on only when the cloud says that it is there.
         if (r.token() > 0 && !part.fleet().list().isListed(r.machine())) {
             return null;
         }
--- a/src/main/java/org/shoreusher/core/Retirement.java
+++ b/src/main/java/org/shoreusher/core/Retirement.java
@@ -19,11 +19,9 @@
 
     /** Looks at all machines of the part. */
     void step() {
-        // If many seem deaf at once, it is this node that they don't hear.
-        long deaf = part.machines().values().stream().filter(Machine::deaf).count();
-        boolean deafCount = deaf <= Math.max(1, part.machines().size() * Tuning.DEAF_SHARE);
+        boolean deafAreFaulty = deafAreFaulty();
         for (Machine m : part.machines().values()) {
-            String fault = fault(m, deafCount);
+            String fault = fault(m, deafAreFaulty);
             if (fault != null) {
                 out.log("retired: " + m.id + fault);
                 m.state = Machine.State.DRAINING;
@@ -38,8 +36,14 @@
         }
     }
 
+    /** Whether deaf machines are at fault: if many seem deaf, it is this node they don't hear. */
+    private boolean deafAreFaulty() {
+        long deaf = part.machines().values().stream().filter(Machine::deaf).count();
+        return deaf <= Math.max(1, part.machines().size() * Tuning.DEAF_SHARE);
+    }
+
     /** What is wrong with a machine; null if nothing is. */
-    private String fault(Machine m, boolean deafCount) {
+    private String fault(Machine m, boolean deafAreFaulty) {
         if (m.state == Machine.State.BOOTING && neverCameUp(m)) {
             return " did not come up in " + ageMs(m) / 1000 + " s";
         }
@@ -49,7 +53,7 @@
         if (m.state == Machine.State.UP && m.slow()) {
             return ", its tasks take far longer than others of their jobs";
         }
-        if (m.state == Machine.State.UP && m.deaf() && m.tasks.isEmpty() && deafCount) {
+        if (m.state == Machine.State.UP && m.deaf() && m.tasks.isEmpty() && deafAreFaulty) {
             return " reports but hears nothing";
         }
         boolean noticed = m.state == Machine.State.UP && !Double.isNaN(m.noticeS);
--- a/src/main/java/org/shoreusher/core/StoreSchema.java
+++ b/src/main/java/org/shoreusher/core/StoreSchema.java
@@ -25,6 +25,7 @@
     static final String MACHINE = "machine/";
     static final String PART = "part/";
     static final String NODE = "node/";
+    private static final String FENCE = "/fence";
 
     private StoreSchema() {}
 
@@ -33,7 +34,11 @@
     }
 
     static String fence(int n) {
-        return PART + n + "/fence";
+        return PART + n + FENCE;
+    }
+
+    static boolean isFence(String key) {
+        return key.startsWith(PART) && key.endsWith(FENCE);
     }
 
     static String done(int n, int chunk) {
--- a/src/main/java/org/shoreusher/core/Urgency.java
+++ b/src/main/java/org/shoreusher/core/Urgency.java
@@ -95,9 +95,8 @@
             slack = Tuning.PATIENCE_S - ageS - needS;
         }
         // Low jobs have aims with more time in them; side by side with normal ones each gets its
-        // turn in time. A job that
-        // has not begun for long goes before all others, or urgent work that keeps coming would
-        // starve it.
+        // turn in time. A job that has not begun for long goes before all others, or urgent work
+        // that keeps coming would starve it.
         int band =
                 job.begun() || ageS < Tuning.STARVED_S
                         ? Math.min(job.spec.priority().ordinal(), JobSpec.Priority.NORMAL.ordinal())
--- a/src/test/java/org/shoreusher/model/Troubles.java
+++ b/src/test/java/org/shoreusher/model/Troubles.java
@@ -99,8 +99,7 @@
                     };
             case 14 ->
                     w -> {
-                        // Without state service and peers, but with its
-                        // workers.
+                        // Without state service and peers, but with its workers.
                         w.network.cut(host, "state", length);
                         w.processes.forEach(p -> w.network.cut(host, p.host, length));
                     };
