Answers are typed; work of a hot team is spread from the first plan, in passes

Need: what the core answers was a map with a status; its types say now what is answered, and wire.ResponseFormat alone knows the wire's form. The model's tests read answers through that format. Cause of the rest: which teams are hot was judged once a second, so work that had just come was placed before anybody knew; and the share of a fetch raised the cap even where all machines had the image. A job placed on a machine in two passes was placed there twice later, each time without the other's zones. Change: judged with each plan; four passes in place of two; shares of one job on a machine are one.

--- a/src/main/java/org/shoreusher/core/Acceptance.java
+++ b/src/main/java/org/shoreusher/core/Acceptance.java
@@ -16,8 +16,6 @@
 import org.shoreusher.settings.Tuning;
 import org.shoreusher.wire.FieldMap;
 import org.shoreusher.wire.StateFormat;
-import org.shoreusher.wire.UserFormat;
-import org.shoreusher.wire.UserFormat.Shown;
 
 /**
  * Makes submissions durable and answers them. One alone gets a record of its own; those that come
@@ -163,9 +161,11 @@
                                     r ->
                                             out.answer(
                                                     r,
-                                                    201,
-                                                    UserFormat.status(
-                                                            a.spec.id(), Shown.PENDING))));
+                                                    new Response.JobState(
+                                                            a.spec.id(),
+                                                            Response.Shown.PENDING,
+                                                            null,
+                                                            true))));
         } else if (reply.status() == 409) {
             Set<String> failed = failed(reply);
             for (Arriving a : batch) {
--- a/src/main/java/org/shoreusher/core/Balancing.java
+++ b/src/main/java/org/shoreusher/core/Balancing.java
@@ -140,17 +140,29 @@
 
     // ---- placing -----------------------------------------------------------------------------
 
-    /** How much of a hot team's work plans put on one machine. */
+    /**
+     * How much of a hot team's work a plan that is made now puts on one machine. Which teams are
+     * hot is judged anew: work that has just come would else be placed before anybody knows.
+     */
     Planner.SpreadLimit spreadLimit() {
-        return off() ? Planner.SpreadLimit.NONE : this;
+        if (off()) {
+            return Planner.SpreadLimit.NONE;
+        }
+        balancer.demand(demand());
+        return this;
     }
 
     @Override
-    public double cpusAllowed(Machine m, JobSpec spec) {
+    public double cpusAllowed(Machine m, JobSpec spec, Planner.SpreadPass pass) {
         if (!balancer.hot(spec.team())) {
             return Double.POSITIVE_INFINITY;
         }
-        double fetchShare = m.images.contains(spec.image()) ? Planner.fetchShare(m.type, spec) : 0;
+        boolean limited = pass == Planner.SpreadPass.WITHIN_LIMIT;
+        if (!limited && !m.images.contains(spec.image())) {
+            return 0;
+        }
+        boolean beyond = pass == Planner.SpreadPass.IMAGE_BEYOND_LIMIT;
+        double fetchShare = beyond ? Planner.fetchShare(m.type, spec) : 0;
         return balancer.cpusAllowed(m.id, spec.team(), spec.cpus(), fetchShare);
     }
 
--- a/src/main/java/org/shoreusher/core/Effect.java
+++ b/src/main/java/org/shoreusher/core/Effect.java
@@ -6,9 +6,8 @@
 /** What the core wants done. */
 public sealed interface Effect {
 
-    /** Answers a request; {@code retryAfterS} 0: none. */
-    record Answer(long request, int status, Map<String, Object> body, int retryAfterS)
-            implements Effect {}
+    /** Answers a request. */
+    record Answer(long request, Response response) implements Effect {}
 
     /**
      * Calls the state service; {@code urgent}: a heartbeat or takeover, which must not wait behind
--- a/src/main/java/org/shoreusher/core/JobSpec.java
+++ b/src/main/java/org/shoreusher/core/JobSpec.java
@@ -52,6 +52,19 @@
         }
     }
 
+    /** Whether this has the form of a job id. */
+    public static boolean isId(String id) {
+        if (id == null || id.length() < 4 || id.length() > 40 || !id.startsWith("wk-")) {
+            return false;
+        }
+        for (int i = 3; i < id.length(); i++) {
+            if (id.charAt(i) < '0' || id.charAt(i) > '9') {
+                return false;
+            }
+        }
+        return true;
+    }
+
     /** Whether a machine of this kind may hold a task, other tasks of the job aside. */
     public boolean allows(String type, String machineZone, boolean spotMachine) {
         return (types == null || types.contains(type))
--- a/src/main/java/org/shoreusher/core/Node.java
+++ b/src/main/java/org/shoreusher/core/Node.java
@@ -2,7 +2,6 @@
 
 import java.util.Arrays;
 import java.util.List;
-import java.util.Map;
 import org.shoreusher.core.Hint.PartHint;
 import org.shoreusher.core.StoreSchema.JobRecord;
 import org.shoreusher.core.StoreSchema.JobStatus;
@@ -11,7 +10,6 @@
 import org.shoreusher.settings.Features;
 import org.shoreusher.settings.Settings;
 import org.shoreusher.settings.Tuning;
-import org.shoreusher.wire.WorkerFormat;
 
 /**
  * The one owner of all state of a process: takes batches of commands with a reading of the clocks,
@@ -89,7 +87,7 @@
             users.cancel(c.request(), c.id());
         } else if (command instanceof Command.Ready r) {
             if (ready()) {
-                out.answer(r.request(), 200, Map.of());
+                out.answer(r.request(), new Response.Ready());
             } else {
                 out.answerUnavailable(r.request());
             }
@@ -128,15 +126,14 @@
             if (host == null) {
                 out.answerUnavailable(r.request());
             } else {
-                out.answer(r.request(), 421, WorkerFormat.elsewhere(host));
+                out.answer(r.request(), new Response.Elsewhere(host));
             }
         } else {
             boolean wait =
                     r.report().token() >= record.term()
                             && peers.cameBackHere(n, r.report(), index.all().size());
             String host = wait ? peers.meanwhile(record.host()) : null;
-            out.answer(
-                    r.request(), 421, WorkerFormat.elsewhere(host == null ? record.host() : host));
+            out.answer(r.request(), new Response.Elsewhere(host == null ? record.host() : host));
         }
     }
 
@@ -207,12 +204,12 @@
 
     // ---- hints -------------------------------------------------------------------------------
 
-    private UserRequests.Counts counts(String id) {
+    private Response.Counts counts(String id) {
         for (int n = 0; n < parts.count(); n++) {
             Part part = parts.owned(n);
             Job job = part == null ? null : part.jobs().get(id);
             if (job != null) {
-                return new UserRequests.Counts(job.done.cardinality(), job.live.size());
+                return new Response.Counts(job.done.cardinality(), job.live.size());
             }
         }
         return peers.counts(id);
--- a/src/main/java/org/shoreusher/core/Outbox.java
+++ b/src/main/java/org/shoreusher/core/Outbox.java
@@ -3,7 +3,6 @@
 import it.unimi.dsi.fastutil.longs.Long2ObjectOpenHashMap;
 import java.util.ArrayList;
 import java.util.List;
-import java.util.Map;
 import java.util.function.Consumer;
 import org.shoreusher.core.Command.CloudReply;
 import org.shoreusher.core.Command.StateReply;
@@ -76,8 +75,8 @@
         effects.add(new Effect.Log(line, true));
     }
 
-    void answer(long request, int status, Map<String, Object> body) {
-        effects.add(new Effect.Answer(request, status, body, 0));
+    void answer(long request, Response response) {
+        effects.add(new Effect.Answer(request, response));
     }
 
     /**
@@ -85,7 +84,7 @@
      * time.
      */
     void answerUnavailable(long request) {
-        effects.add(new Effect.Answer(request, 503, Map.of(), Tuning.retryAfterS(request)));
+        answer(request, new Response.Unavailable(Tuning.retryAfterS(request)));
     }
 
     /** Calls the state service for background work; false without tokens. */
--- a/src/main/java/org/shoreusher/core/PeerHints.java
+++ b/src/main/java/org/shoreusher/core/PeerHints.java
@@ -71,14 +71,14 @@
     }
 
     /** Counts for display of a job that another node's part has; zeros if no hint names it. */
-    UserRequests.Counts counts(String id) {
+    Response.Counts counts(String id) {
         for (Hint h : hints.values()) {
             if (h.running().containsKey(id) || h.done().containsKey(id)) {
-                return new UserRequests.Counts(
+                return new Response.Counts(
                         h.done().getOrDefault(id, 0), h.running().getOrDefault(id, 0));
             }
         }
-        return new UserRequests.Counts(0, 0);
+        return new Response.Counts(0, 0);
     }
 
     /**
--- a/src/main/java/org/shoreusher/core/Placement.java
+++ b/src/main/java/org/shoreusher/core/Placement.java
@@ -89,6 +89,23 @@
         }
     }
 
+    /**
+     * Notes a machine's share. A job that was placed on it in several passes has one share there:
+     * each would be placed by itself later, and count the zones of the job's tasks without the
+     * others.
+     */
+    private void share(Planner.Placed p) {
+        List<Planner.Placed> share =
+                shares.computeIfAbsent(p.slot().machine, m -> new ArrayList<>());
+        int last = share.size() - 1;
+        if (last >= 0 && share.get(last).job() == p.job()) {
+            int count = share.get(last).count() + p.count();
+            share.set(last, new Planner.Placed(p.job(), p.slot(), count));
+        } else {
+            share.add(p);
+        }
+    }
+
     private void plan() {
         shares.clear();
         rest.clear();
@@ -129,9 +146,7 @@
                 marks.want(job, job.belowFor(allowed - left + next));
             }
         }
-        for (Planner.Placed p : planner.placed()) {
-            shares.computeIfAbsent(p.slot().machine, m -> new ArrayList<>()).add(p);
-        }
+        planner.placed().forEach(this::share);
         nextMs =
                 out.now.steadyMs()
                         + (planner.steps() + part.machines().size() + jobs.size())
--- a/src/main/java/org/shoreusher/core/Planner.java
+++ b/src/main/java/org/shoreusher/core/Planner.java
@@ -99,13 +99,29 @@
     /** So many tasks of a job on a machine. */
     record Placed(Job job, Slot slot, int count) {}
 
+    /**
+     * A pass over the machines while a job is placed, in this order. The time of a fetch is weighed
+     * against the spread: machines with the image are filled evenly, then beyond the limit by the
+     * share of a task's time that a fetch elsewhere takes, and only then others are used.
+     */
+    enum SpreadPass {
+        /** Machines that have the image, within the limit. */
+        IMAGE_WITHIN_LIMIT,
+        /** Machines that have the image, beyond the limit by what the fetch would take. */
+        IMAGE_BEYOND_LIMIT,
+        /** All machines, within the limit. */
+        WITHIN_LIMIT,
+        /** All machines: no work waits for the sake of balance. */
+        UNLIMITED
+    }
+
     /** How much of a team's work may go on one machine as long as others have room. */
     interface SpreadLimit {
         /** No limit at all. */
         SpreadLimit NONE =
                 new SpreadLimit() {
                     @Override
-                    public double cpusAllowed(Machine m, JobSpec spec) {
+                    public double cpusAllowed(Machine m, JobSpec spec, SpreadPass pass) {
                         return Double.POSITIVE_INFINITY;
                     }
 
@@ -115,8 +131,8 @@
                     }
                 };
 
-        /** CPUs that the job's team may use on the machine. */
-        double cpusAllowed(Machine m, JobSpec spec);
+        /** CPUs that the job's team may use on the machine in a pass. */
+        double cpusAllowed(Machine m, JobSpec spec, SpreadPass pass);
 
         /** CPUs that a team uses on the machine. */
         double cpusUsed(Machine m, String team);
@@ -227,16 +243,17 @@
                                                 : 0));
         slots.sort(ORDER);
         ZoneRule zones = new ZoneRule(job);
-        left = fill(job, left, zones, spreadLimit);
-        if (left > 0 && spreadLimit != SpreadLimit.NONE) {
-            // No work waits for the sake of balance.
-            left = fill(job, left, zones, SpreadLimit.NONE);
+        if (spreadLimit == SpreadLimit.NONE) {
+            return fill(job, left, zones, SpreadPass.UNLIMITED);
+        }
+        for (SpreadPass pass : SpreadPass.values()) {
+            left = left == 0 ? 0 : fill(job, left, zones, pass);
         }
         return left;
     }
 
     /** Puts tasks on machines in their order; returns how many found no room within the limit. */
-    private int fill(Job job, int wanted, ZoneRule zones, SpreadLimit limit) {
+    private int fill(Job job, int wanted, ZoneRule zones, SpreadPass pass) {
         JobSpec spec = job.spec;
         int left = wanted;
         boolean filled = false;
@@ -246,7 +263,7 @@
                 continue;
             }
             int n = Math.min(Math.min(left, slot.fits(spec)), zones.room(slot.zone));
-            n = Math.min(n, within(limit, slot, spec));
+            n = Math.min(n, within(slot, spec, pass));
             if (n > 0) {
                 slot.take(spec, n);
                 if (spreadLimit != SpreadLimit.NONE) {
@@ -266,16 +283,16 @@
         return left;
     }
 
-    /** How many more tasks of the job the limit allows on a machine. */
-    private int within(SpreadLimit limit, Slot slot, JobSpec spec) {
-        if (slot.machine == null || spec.cpus() <= 0) {
+    /** How many more tasks of the job a pass allows on a machine. */
+    private int within(Slot slot, JobSpec spec, SpreadPass pass) {
+        if (slot.machine == null || spec.cpus() <= 0 || pass == SpreadPass.UNLIMITED) {
             return Integer.MAX_VALUE;
         }
-        double allowed = limit.cpusAllowed(slot.machine, spec);
+        double allowed = spreadLimit.cpusAllowed(slot.machine, spec, pass);
         if (Double.isInfinite(allowed)) {
             return Integer.MAX_VALUE;
         }
-        double used = limit.cpusUsed(slot.machine, spec.team()) + slot.planned(spec.team());
+        double used = spreadLimit.cpusUsed(slot.machine, spec.team()) + slot.planned(spec.team());
         return (int) Math.max(0, Math.floor((allowed - used) / spec.cpus() + Tuning.EPSILON));
     }
 
--- a/src/main/java/org/shoreusher/core/Reports.java
+++ b/src/main/java/org/shoreusher/core/Reports.java
@@ -11,7 +11,6 @@
 import org.shoreusher.core.WorkerReport.TaskState;
 import org.shoreusher.settings.Settings;
 import org.shoreusher.settings.Tuning;
-import org.shoreusher.wire.WorkerFormat;
 
 /**
  * Reads the reports of a part's machines and answers them.
@@ -65,7 +64,7 @@
                 && r.token() < part.ownership().takenTerm()
                 && !deafSinceTakeover(m, r)) {
             m.answeredAtMs = Math.max(m.answeredAtMs, out.now.steadyMs());
-            out.answer(request, 200, WorkerFormat.answer(part.term(), stopsOfCancelled(r)));
+            out.answer(request, new Response.Orders(part.term(), stopsOfCancelled(r)));
             return;
         }
         // A late report's sender has given up on it, and of a copy nobody waits for the answer; the
@@ -96,7 +95,7 @@
         }
         m.repliedAtMs = out.now.steadyMs();
         m.answeredAtMs = out.now.steadyMs();
-        out.answer(request, 200, WorkerFormat.answer(part.term(), orders));
+        out.answer(request, new Response.Orders(part.term(), orders));
     }
 
     /**
--- a/src/main/java/org/shoreusher/core/UserRequests.java
+++ b/src/main/java/org/shoreusher/core/UserRequests.java
@@ -5,12 +5,11 @@
 import java.util.function.ToIntFunction;
 import org.shoreusher.core.Command.StateReply;
 import org.shoreusher.core.Effect.StateOp;
+import org.shoreusher.core.Response.Shown;
 import org.shoreusher.core.StoreSchema.JobRecord;
 import org.shoreusher.core.StoreSchema.JobStatus;
 import org.shoreusher.settings.Settings;
 import org.shoreusher.settings.Tuning;
-import org.shoreusher.wire.UserFormat;
-import org.shoreusher.wire.UserFormat.Shown;
 
 /**
  * Answers users. Final states come from memory, since they never change; anything else is said only
@@ -18,12 +17,14 @@
  * Many questions share one such read. What can't be answered is refused at once.
  */
 final class UserRequests {
-    /** Counts for display. */
-    record Counts(int done, int running) {}
+    private static final String NO_ID = "name_id must look like wk-000412";
+    private static final String NEVER_RUNS =
+            "can never run: unknown team, no machine type that fits, or above the team's limit";
+    private static final String TOO_LONG = "the description is longer than a record may be";
 
     /** Where counts for display come from. */
     interface CountSource {
-        Counts counts(String id);
+        Response.Counts counts(String id);
     }
 
     private final Settings settings;
@@ -70,8 +71,8 @@
     // ---- requests ----------------------------------------------------------------------------
 
     void poll(long request, String id) {
-        if (!UserFormat.isId(id)) {
-            out.answer(request, 404, Map.of());
+        if (!JobSpec.isId(id)) {
+            out.answer(request, new Response.NotFound());
             return;
         }
         reads.ask(
@@ -79,36 +80,29 @@
                 id,
                 record -> {
                     if (record == null) {
-                        out.answer(request, 404, Map.of());
+                        out.answer(request, new Response.NotFound());
                     } else {
-                        Counts c = counts.counts(id);
-                        out.answer(
-                                request,
-                                200,
-                                switch (record.status()) {
-                                    case DONE ->
-                                            UserFormat.status(id, Shown.DONE, record.tasks(), 0);
-                                    case CANCELLED ->
-                                            UserFormat.status(id, Shown.CANCELLED, c.done(), 0);
-                                    case OPEN ->
-                                            UserFormat.status(
-                                                    id,
-                                                    c.running() > 0 ? Shown.RUNNING : Shown.PENDING,
-                                                    c.done(),
-                                                    c.running());
-                                });
+                        out.answer(request, polled(id, record));
                     }
                 });
     }
 
+    private Response polled(String id, JobRecord record) {
+        Response.Counts c = counts.counts(id);
+        return switch (record.status()) {
+            case DONE -> state(id, Shown.DONE, new Response.Counts(record.tasks(), 0));
+            case CANCELLED -> state(id, Shown.CANCELLED, new Response.Counts(c.done(), 0));
+            case OPEN -> state(id, c.running() > 0 ? Shown.RUNNING : Shown.PENDING, c);
+        };
+    }
+
+    private static Response state(String id, Shown shown, Response.Counts counts) {
+        return new Response.JobState(id, shown, counts, false);
+    }
+
     void submit(long request, String id, JobSpec spec, String problem) {
-        if (!UserFormat.isId(id)) {
-            out.answer(
-                    request,
-                    400,
-                    Map.of(
-                            "error",
-                            problem == null ? "name_id must look like wk-000412" : problem));
+        if (!JobSpec.isId(id)) {
+            out.answer(request, new Response.Malformed(problem == null ? NO_ID : problem));
             return;
         }
         // A known job is answered with its state before anything in the body is judged.
@@ -116,7 +110,7 @@
                 && view.loaded()
                 && arrivals.record(id) == null
                 && ended.get(id) == null
-                && verdict(spec) == 0) {
+                && verdict(spec) == Verdict.RUNS) {
             accept(request, spec);
             return;
         }
@@ -127,19 +121,12 @@
                     if (record != null) {
                         known(request, id, record);
                     } else if (spec == null) {
-                        out.answer(request, 400, Map.of("error", problem));
+                        out.answer(request, new Response.Malformed(problem));
                     } else {
                         switch (verdict(spec)) {
-                            case 0 -> accept(request, spec);
-                            case 422 ->
-                                    out.answer(
-                                            request,
-                                            422,
-                                            Map.of(
-                                                    "error",
-                                                    "can never run: unknown team, no machine type"
-                                                        + " that fits, or above the team's limit"));
-                            default -> out.answerUnavailable(request);
+                            case RUNS -> accept(request, spec);
+                            case NEVER -> out.answer(request, new Response.CannotRun(NEVER_RUNS));
+                            case UNKNOWN -> out.answerUnavailable(request);
                         }
                     }
                 });
@@ -164,14 +151,13 @@
      * whatever its description's length, also to a node whose view lags.
      */
     private void refuseLong(long request) {
-        out.answer(request, 400, Map.of("error", "the description is longer than a record may be"));
+        out.answer(request, new Response.Malformed(TOO_LONG));
     }
 
     private void known(long request, String id, JobRecord record) {
         out.answer(
                 request,
-                200,
-                UserFormat.status(
+                new Response.JobState(
                         id,
                         switch (record.status()) {
                             case DONE -> Shown.DONE;
@@ -181,21 +167,28 @@
                         }));
     }
 
-    /** 0: can run; 422: never; 503: not known yet. */
-    private int verdict(JobSpec spec) {
+    /** Whether a job can run. */
+    private enum Verdict {
+        RUNS,
+        NEVER,
+        /** Not known yet. */
+        UNKNOWN
+    }
+
+    private Verdict verdict(JobSpec spec) {
         Settings.Team team = settings.teams().get(spec.team());
         int atOnce = spec.atLeastAtOnce();
         if (team == null
                 || spec.cpus() * atOnce > team.cpusMax()
                 || spec.gpus() * atOnce > team.gpusMax()) {
-            return 422;
+            return Verdict.NEVER;
         }
         // A node from before there were services would run a replica to its end, and call the job
         // done.
         if (!types.known() || (!spec.shape().ends() && !formats.services())) {
-            return 503;
+            return Verdict.UNKNOWN;
         }
-        return types.all().stream().anyMatch(t -> t.fits(spec)) ? 0 : 422;
+        return types.all().stream().anyMatch(t -> t.fits(spec)) ? Verdict.RUNS : Verdict.NEVER;
     }
 
     private void accept(long request, JobSpec spec) {
@@ -205,8 +198,8 @@
     }
 
     void cancel(long request, String id) {
-        if (!UserFormat.isId(id)) {
-            out.answer(request, 404, Map.of());
+        if (!JobSpec.isId(id)) {
+            out.answer(request, new Response.NotFound());
             return;
         }
         reads.ask(request, id, record -> cancel(request, id, record, Tuning.WRITE_TRIES));
@@ -214,11 +207,11 @@
 
     private void cancel(long request, String id, JobRecord record, int tries) {
         if (record == null) {
-            out.answer(request, 404, Map.of());
+            out.answer(request, new Response.NotFound());
         } else if (record.status() == JobStatus.DONE) {
-            out.answer(request, 200, UserFormat.status(id, Shown.DONE));
+            out.answer(request, new Response.JobState(id, Shown.DONE));
         } else if (record.status() == JobStatus.CANCELLED) {
-            out.answer(request, 200, UserFormat.status(id, Shown.CANCELLED));
+            out.answer(request, new Response.JobState(id, Shown.CANCELLED));
         } else {
             Map<String, Map<String, Object>> writes =
                     Map.of(StoreSchema.job(id), record.cancelled(settings.valueBytes()).write());
@@ -229,7 +222,7 @@
                     Tuning.WRITE_TRIES,
                     reply -> {
                         if (reply.status() == 200) {
-                            out.answer(request, 200, UserFormat.status(id, Shown.CANCELLED));
+                            out.answer(request, new Response.JobState(id, Shown.CANCELLED));
                         } else if (tries > 1) {
                             reads.read(request, id, now -> cancel(request, id, now, tries - 1));
                         } else {
--- a/src/main/java/org/shoreusher/user/HttpFrontend.java
+++ b/src/main/java/org/shoreusher/user/HttpFrontend.java
@@ -38,10 +38,12 @@
 import org.shoreusher.core.Command;
 import org.shoreusher.core.Effect;
 import org.shoreusher.core.JobSpec;
+import org.shoreusher.core.Response;
 import org.shoreusher.core.WorkerReport;
 import org.shoreusher.settings.Settings;
 import org.shoreusher.settings.Tuning;
 import org.shoreusher.wire.FieldMap;
+import org.shoreusher.wire.ResponseFormat;
 import org.shoreusher.wire.UserFormat;
 import org.shoreusher.wire.WorkerFormat;
 
@@ -128,7 +130,13 @@
                             userLatency.getHighestTrackableValue(),
                             TimeUnit.NANOSECONDS.toMicros(System.nanoTime() - w.sinceNs)));
         }
-        send(w.channel, w.keepAlive, answer.status(), answer.body(), answer.retryAfterS());
+        Response response = answer.response();
+        send(
+                w.channel,
+                w.keepAlive,
+                ResponseFormat.status(response),
+                ResponseFormat.body(response),
+                ResponseFormat.retryAfterS(response));
     }
 
     /** How long users have waited since the last call, as one line. */
@@ -196,7 +204,7 @@
                     ctx,
                     false,
                     400,
-                    Map.of("error", "the body is longer than " + Tuning.MAX_BODY + " bytes"),
+                    ResponseFormat.error("the body is longer than " + Tuning.MAX_BODY + " bytes"),
                     0);
         }
     }
@@ -266,7 +274,7 @@
             boolean keepAlive = HttpUtil.isKeepAlive(http);
             if (!http.decoderResult().isSuccess()) {
                 pace.complete(ctx, false);
-                send(ctx, false, 400, Map.of("error", "malformed HTTP"), 0);
+                send(ctx, false, 400, ResponseFormat.error("malformed HTTP"), 0);
                 return;
             }
             String path = http.uri();
@@ -305,7 +313,12 @@
                     WorkerReport report = WorkerFormat.report(FieldMap.cbor(bytes(http.content())));
                     return new Command.Report(current, report);
                 } catch (IOException | FieldMap.Missing e) {
-                    send(ctx, keepAlive, 400, Map.of("error", String.valueOf(e.getMessage())), 0);
+                    send(
+                            ctx,
+                            keepAlive,
+                            400,
+                            ResponseFormat.error(String.valueOf(e.getMessage())),
+                            0);
                     return null;
                 }
             }
@@ -327,7 +340,7 @@
                     ctx,
                     keepAlive,
                     path.equals(JOBS) || path.equals(HELLO) || path.equals("/ready") ? 405 : 404,
-                    Map.of("error", "no such path or method"),
+                    ResponseFormat.error("no such path or method"),
                     0);
             return null;
         }
--- /dev/null
+++ b/src/main/java/org/shoreusher/wire/ResponseFormat.java
@@ -0,0 +1,80 @@
+package org.shoreusher.wire;
+
+import java.util.LinkedHashMap;
+import java.util.Map;
+import org.shoreusher.core.Response;
+
+/** Answers to users, workers and the load balancer on the wire. */
+public final class ResponseFormat {
+    private static final int OK = 200;
+    private static final int CREATED = 201;
+    private static final int BAD_REQUEST = 400;
+    private static final int NOT_FOUND = 404;
+    private static final int MISDIRECTED = 421;
+    private static final int UNPROCESSABLE = 422;
+    private static final int UNAVAILABLE = 503;
+
+    private ResponseFormat() {}
+
+    /** The HTTP status. */
+    public static int status(Response response) {
+        if (response instanceof Response.JobState state) {
+            return state.created() ? CREATED : OK;
+        } else if (response instanceof Response.NotFound) {
+            return NOT_FOUND;
+        } else if (response instanceof Response.Malformed) {
+            return BAD_REQUEST;
+        } else if (response instanceof Response.CannotRun) {
+            return UNPROCESSABLE;
+        } else if (response instanceof Response.Unavailable) {
+            return UNAVAILABLE;
+        } else if (response instanceof Response.Elsewhere) {
+            return MISDIRECTED;
+        }
+        return OK;
+    }
+
+    /** Seconds after which the sender should come back; 0: none. */
+    public static int retryAfterS(Response response) {
+        return response instanceof Response.Unavailable later ? later.retryAfterS() : 0;
+    }
+
+    /** The body. */
+    public static Map<String, Object> body(Response response) {
+        if (response instanceof Response.JobState state) {
+            return jobState(state);
+        } else if (response instanceof Response.Orders orders) {
+            return WorkerFormat.answer(orders.term(), orders.orders());
+        } else if (response instanceof Response.Elsewhere elsewhere) {
+            return Map.of("foreman", elsewhere.host());
+        } else if (response instanceof Response.Malformed malformed) {
+            return error(malformed.problem());
+        } else if (response instanceof Response.CannotRun cannot) {
+            return error(cannot.problem());
+        }
+        return Map.of();
+    }
+
+    /** The body of a refusal. */
+    public static Map<String, Object> error(String problem) {
+        return Map.of("error", problem);
+    }
+
+    private static Map<String, Object> jobState(Response.JobState state) {
+        Map<String, Object> body = new LinkedHashMap<>();
+        body.put("name_id", state.id());
+        body.put(
+                "status",
+                switch (state.shown()) {
+                    case PENDING -> "pending";
+                    case RUNNING -> "running";
+                    case DONE -> "done";
+                    case CANCELLED -> "aborted";
+                });
+        if (state.counts() != null) {
+            body.put("done", (long) state.counts().done());
+            body.put("running", (long) state.counts().running());
+        }
+        return body;
+    }
+}
--- a/src/main/java/org/shoreusher/wire/UserFormat.java
+++ b/src/main/java/org/shoreusher/wire/UserFormat.java
@@ -44,19 +44,6 @@
 
     private UserFormat() {}
 
-    /** Whether this has the form of a job id. */
-    public static boolean isId(String id) {
-        if (id == null || id.length() < 4 || id.length() > 40 || !id.startsWith("wk-")) {
-            return false;
-        }
-        for (int i = 3; i < id.length(); i++) {
-            if (id.charAt(i) < '0' || id.charAt(i) > '9') {
-                return false;
-            }
-        }
-        return true;
-    }
-
     /** Reads a job that a user submits; {@link FieldMap.Missing} says what is wrong with it. */
     public static JobSpec job(FieldMap t) throws FieldMap.Missing {
         String shape = t.text("shape");
@@ -72,7 +59,7 @@
 
     private static JobSpec job(FieldMap t, Shape shape) throws FieldMap.Missing {
         String id = t.text("name_id");
-        need(isId(id), "name_id must look like wk-000412");
+        need(JobSpec.isId(id), "name_id must look like wk-000412");
         long tasks = t.whole("sheets");
         need(
                 tasks >= 1 && tasks <= Tuning.MAX_TASKS,
@@ -193,34 +180,4 @@
         shorter.put("plate", "");
         return shorter;
     }
-
-    /** States as users see them. */
-    public enum Shown {
-        PENDING("pending"),
-        RUNNING("running"),
-        DONE("done"),
-        CANCELLED("aborted");
-
-        private final String text;
-
-        Shown(String text) {
-            this.text = text;
-        }
-    }
-
-    /** The answer to a submission or a cancellation. */
-    public static Map<String, Object> status(String id, Shown shown) {
-        Map<String, Object> m = new LinkedHashMap<>();
-        m.put("name_id", id);
-        m.put("status", shown.text);
-        return m;
-    }
-
-    /** The answer to a poll. */
-    public static Map<String, Object> status(String id, Shown shown, int done, int running) {
-        Map<String, Object> m = status(id, shown);
-        m.put("done", (long) done);
-        m.put("running", (long) running);
-        return m;
-    }
 }
--- a/src/main/java/org/shoreusher/wire/WorkerFormat.java
+++ b/src/main/java/org/shoreusher/wire/WorkerFormat.java
@@ -109,9 +109,4 @@
         m.put("shift", session);
         return m;
     }
-
-    /** The answer that sends a worker elsewhere. */
-    public static Map<String, Object> elsewhere(String node) {
-        return node == null ? Map.of() : Map.of("foreman", node);
-    }
 }
--- a/src/test/java/org/shoreusher/model/MoveStepsTest.java
+++ b/src/test/java/org/shoreusher/model/MoveStepsTest.java
@@ -158,6 +158,75 @@
         assertEquals(3, workers.stream().skip(1).filter(w -> w.shown() == 1).count());
     }
 
+    /**
+     * A machine shows the task under an attempt of long ago. That it ends there says nothing of the
+     * attempt that is being moved: it is still on its source.
+     */
+    @Example
+    void theEndOfAnotherAttemptStartsNothing() {
+        crowd();
+        String task = awaitStop(20);
+        String target = node.log.stream().filter(l -> l.startsWith("move: ")).findFirst().get();
+        ScriptedWorker other =
+                workers.stream()
+                        .skip(1)
+                        .filter(w -> !target.contains(w.id()))
+                        .findFirst()
+                        .orElseThrow();
+        other.runs(task, 3);
+        reportAll();
+        assertEquals(List.of(task), other.halted, "nobody wants it there");
+        other.exit(task, Cause.STOPPED, false);
+        for (int i = 0; i < 3; i++) {
+            reportAll();
+            assertEquals(List.of(), startedElsewhere());
+        }
+    }
+
+    /** Work of a hot team is spread when it is placed, as far as others have room. */
+    @Example
+    void aHotTeamsWorkIsSpreadWhenItIsPlaced() {
+        node.left();
+        node.steps(20);
+        for (int i = 1; i <= MACHINES; i++) {
+            workers.add(new ScriptedWorker(node, "host-" + i));
+        }
+        for (int i = 0; i < 4; i++) {
+            reportAll();
+        }
+        node.openJob(job());
+        for (int i = 0; i < 4; i++) {
+            reportAll();
+        }
+        // A quarter of all CPUs and the margin of a tenth are 2.8 of 8.
+        assertEquals(List.of(2, 2, 2, 2), workers.stream().map(ScriptedWorker::shown).toList());
+        // The load doubles, and again: the share goes up with it, and nothing waits.
+        node.openJob(new JobSpecBuilder("wk-000002").tasks(8).cpus(1).build());
+        for (int i = 0; i < 4; i++) {
+            reportAll();
+        }
+        assertEquals(List.of(4, 4, 4, 4), workers.stream().map(ScriptedWorker::shown).toList());
+        node.openJob(new JobSpecBuilder("wk-000003").tasks(16).cpus(1).build());
+        for (int i = 0; i < 4; i++) {
+            reportAll();
+        }
+        assertEquals(List.of(8, 8, 8, 8), workers.stream().map(ScriptedWorker::shown).toList());
+    }
+
+    /** Tasks that nobody knows are stopped as ever, and are in no plan. */
+    @Example
+    void unknownTasksChangeNoPlan() {
+        crowd();
+        workers.get(1).runs("wk-999999/0", 3);
+        String task = awaitStop(20);
+        assertTrue(task.startsWith("wk-000001/"), task);
+        for (int i = 0; i < 4; i++) {
+            reportAll();
+        }
+        assertEquals(List.of("wk-999999/0"), workers.get(1).halted);
+        assertTrue(node.log.stream().noneMatch(l -> l.contains("move: wk-999999")));
+    }
+
     /** What an owner before has begun is not moved: how often it was moved is not known. */
     @Example
     void jobsOfAnOwnerBeforeAreNotMoved() {
--- a/src/test/java/org/shoreusher/model/MovesTest.java
+++ b/src/test/java/org/shoreusher/model/MovesTest.java
@@ -89,6 +89,8 @@
                         .tasks(tasks)
                         .cpus(1)
                         .image("img-" + number % 2)
+                        .spread(number % 4 == 3)
+                        .oneZone(number % 5 == 4)
                         .estimateS(runMs / 1_000.0)
                         .checkpointS(4)
                         .saveS(1)
--- a/src/test/java/org/shoreusher/model/Rules.java
+++ b/src/test/java/org/shoreusher/model/Rules.java
@@ -6,7 +6,6 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
-import org.shoreusher.core.Effect;
 import org.shoreusher.core.JobSpec;
 
 /** Checks the protocol's rules on what really happens in the world. */
@@ -174,7 +173,7 @@
      * What a user hears about a job; only what was told before the question was asked binds the
      * answer.
      */
-    void told(UserModel.Wish w, Effect.Answer answer, long askedAt) {
+    void told(UserModel.Wish w, WireAnswer answer, long askedAt) {
         String id = w.spec.id();
         checkAnswered(w);
         w.answeredAt = world.now;
--- a/src/test/java/org/shoreusher/model/ScriptedWorker.java
+++ b/src/test/java/org/shoreusher/model/ScriptedWorker.java
@@ -31,6 +31,10 @@
         this.id = id;
     }
 
+    String id() {
+        return id;
+    }
+
     /** Reports, and carries out starts and the removal of tasks; stops are only noted. */
     void report() {
         reportAs(++sequence);
--- a/src/test/java/org/shoreusher/model/ServiceTroublesTest.java
+++ b/src/test/java/org/shoreusher/model/ServiceTroublesTest.java
@@ -8,7 +8,6 @@
 import java.util.function.Consumer;
 import net.jqwik.api.Example;
 import org.shoreusher.core.Command;
-import org.shoreusher.core.Effect;
 import org.shoreusher.core.JobSpec;
 import org.shoreusher.core.JobSpecBuilder;
 import org.shoreusher.model.World.Sabotage;
@@ -199,7 +198,7 @@
         }
     }
 
-    private static boolean saysRunning(Effect.Answer answer) {
+    private static boolean saysRunning(WireAnswer answer) {
         return answer.status() == 200 && "running".equals(answer.body().get("status"));
     }
 
--- a/src/test/java/org/shoreusher/model/SingleNode.java
+++ b/src/test/java/org/shoreusher/model/SingleNode.java
@@ -30,7 +30,7 @@
     private final World world;
     private final Node node;
     private final List<Command> commands = new ArrayList<>();
-    private final Map<Long, Effect.Answer> answers = new LinkedHashMap<>();
+    private final Map<Long, WireAnswer> answers = new LinkedHashMap<>();
     long now = 1_000_000;
     private long requests;
 
@@ -68,7 +68,7 @@
                 } else if (e instanceof Effect.Log l) {
                     log.add(l.line());
                 } else if (e instanceof Effect.Answer a) {
-                    answers.put(a.request(), a);
+                    answers.put(a.request(), WireAnswer.of(a));
                 }
             }
         }
@@ -117,7 +117,7 @@
 
     /** The orders in the answer to the last report; null if it was refused. */
     List<Map<?, ?>> ordersOfLast() {
-        Effect.Answer answer = answers.get(requests);
+        WireAnswer answer = answers.get(requests);
         if (answer.status() != 200) {
             return null;
         }
@@ -186,11 +186,11 @@
 
     /** A user asks; the answer's status. */
     Object ask(String id) {
-        Effect.Answer a = answerAbout(id);
+        WireAnswer a = answerAbout(id);
         return a == null ? null : a.status() == 200 ? a.body().get("status") : a.status();
     }
 
-    Effect.Answer answerAbout(String id) {
+    WireAnswer answerAbout(String id) {
         long request = ++requests;
         commands.add(new Command.Poll(request, id));
         steps(3);
--- a/src/test/java/org/shoreusher/model/UserModel.java
+++ b/src/test/java/org/shoreusher/model/UserModel.java
@@ -7,7 +7,6 @@
 import java.util.function.BiConsumer;
 import java.util.function.LongFunction;
 import org.shoreusher.core.Command;
-import org.shoreusher.core.Effect;
 import org.shoreusher.core.JobSpec;
 import org.shoreusher.core.JobSpecBuilder;
 
@@ -144,7 +143,7 @@
     }
 
     private void ask(
-            LongFunction<Command> command, BiConsumer<Effect.Answer, Long> then, Runnable again) {
+            LongFunction<Command> command, BiConsumer<WireAnswer, Long> then, Runnable again) {
         ask(
                 world.processes.get(world.random.nextInt(world.processes.size())),
                 command,
@@ -155,7 +154,7 @@
     private void ask(
             World.Process node,
             LongFunction<Command> command,
-            BiConsumer<Effect.Answer, Long> then,
+            BiConsumer<WireAnswer, Long> then,
             Runnable again) {
         long askedAt = world.now;
         boolean[] ended = {false};
@@ -244,7 +243,7 @@
                 () -> cancel(w));
     }
 
-    private void told(Wish w, Effect.Answer answer, long askedAt) {
+    private void told(Wish w, WireAnswer answer, long askedAt) {
         boolean ended = w.doneTold || w.cancelTold;
         world.rules.told(w, answer, askedAt);
         if (!ended && (w.doneTold || w.cancelTold)) {
--- /dev/null
+++ b/src/test/java/org/shoreusher/model/WireAnswer.java
@@ -0,0 +1,16 @@
+package org.shoreusher.model;
+
+import java.util.Map;
+import org.shoreusher.core.Effect;
+import org.shoreusher.wire.ResponseFormat;
+
+/** An answer as its receiver sees it on the wire. */
+record WireAnswer(long request, int status, Map<String, Object> body, int retryAfterS) {
+    static WireAnswer of(Effect.Answer answer) {
+        return new WireAnswer(
+                answer.request(),
+                ResponseFormat.status(answer.response()),
+                World.copy(ResponseFormat.body(answer.response())),
+                ResponseFormat.retryAfterS(answer.response()));
+    }
+}
--- a/src/test/java/org/shoreusher/model/WorkerModel.java
+++ b/src/test/java/org/shoreusher/model/WorkerModel.java
@@ -163,7 +163,7 @@
     }
 
     /** An answer arrives at the machine. */
-    private void heard(Effect.Answer answer, long sentAt, long ofSession, long ofFlight) {
+    private void heard(WireAnswer answer, long sentAt, long ofSession, long ofFlight) {
         if (world.now < deafUntil) {
             return;
         }
@@ -240,7 +240,7 @@
                 });
     }
 
-    private void answered(Effect.Answer answer, long sentAt, long ofSession, long ofFlight) {
+    private void answered(WireAnswer answer, long sentAt, long ofSession, long ofFlight) {
         if (flight != ofFlight || !inFlight || gone || world.now - sentAt > PATIENCE_MS) {
             return;
         }
--- a/src/test/java/org/shoreusher/model/World.java
+++ b/src/test/java/org/shoreusher/model/World.java
@@ -178,7 +178,7 @@
         private int life;
         private Node node;
         private final List<Command> queue = new ArrayList<>();
-        private final Map<Long, Consumer<Effect.Answer>> waiting = new HashMap<>();
+        private final Map<Long, Consumer<WireAnswer>> waiting = new HashMap<>();
         private boolean woken;
         private long nextRequest = 1;
         private long pausedUntil;
@@ -295,7 +295,7 @@
 
         /** A request comes in; the consumer gets the answer, unless the process dies first. */
         void request(
-                java.util.function.LongFunction<Command> command, Consumer<Effect.Answer> answer) {
+                java.util.function.LongFunction<Command> command, Consumer<WireAnswer> answer) {
             if (node == null) {
                 return;
             }
@@ -307,9 +307,9 @@
         private void carryOut(Effect effect) {
             int ofLife = life;
             if (effect instanceof Effect.Answer a) {
-                Consumer<Effect.Answer> to = waiting.remove(a.request());
+                Consumer<WireAnswer> to = waiting.remove(a.request());
                 if (to != null) {
-                    to.accept(a);
+                    to.accept(WireAnswer.of(a));
                 }
             } else if (effect instanceof Effect.StateCall c) {
                 long timeout =
