--- a/src/main/java/org/shoreusher/balance/LoadModel.java
+++ b/src/main/java/org/shoreusher/balance/LoadModel.java
@@ -38,14 +38,6 @@
         cpus += machineCpus;
     }
 
-    /** A machine has told what is on it. */
-    public void reported(String id, long nowMs) {
-        MachineLoad machine = machines.get(id);
-        if (machine != null) {
-            machine.reported(nowMs);
-        }
-    }
-
     /** A machine is gone, with all that was on it. */
     public void machineGone(String id) {
         MachineLoad machine = machines.remove(id);
--- a/src/main/java/org/shoreusher/balance/MachineLoad.java
+++ b/src/main/java/org/shoreusher/balance/MachineLoad.java
@@ -22,7 +22,6 @@
     private final double fetchGbPerS;
     private final Map<String, TeamUse> teams = new HashMap<>();
     private final Set<String> images = new HashSet<>();
-    private long reportedAtMs;
 
     MachineLoad(String id, String zone, double cpus, double fetchGbPerS) {
         this.id = id;
@@ -43,14 +42,6 @@
         return cpus;
     }
 
-    long reportedAtMs() {
-        return reportedAtMs;
-    }
-
-    void reported(long nowMs) {
-        reportedAtMs = nowMs;
-    }
-
     void add(String team, double taskCpus, String image) {
         TeamUse use = teams.computeIfAbsent(team, t -> new TeamUse());
         use.cpus += taskCpus;
--- a/src/main/java/org/shoreusher/core/Acceptance.java
+++ b/src/main/java/org/shoreusher/core/Acceptance.java
@@ -33,7 +33,7 @@
             List<Long> requests) {}
 
     private final Settings settings;
-    private final Outbox out;
+    private final Outbox outbox;
     private final StoreView view;
     private final String owner;
     private final ToIntFunction<JobSpec> roomiestPart;
@@ -50,14 +50,14 @@
 
     Acceptance(
             Settings settings,
-            Outbox out,
+            Outbox outbox,
             StoreView view,
             String owner,
             ToIntFunction<JobSpec> roomiestPart,
             BiConsumer<Long, String> alreadyKnown,
             BiConsumer<Long, String> tooLong) {
         this.settings = settings;
-        this.out = out;
+        this.outbox = outbox;
         this.view = view;
         this.owner = owner;
         this.roomiestPart = roomiestPart;
@@ -73,11 +73,11 @@
             return;
         }
         if (queue.size() >= Tuning.ARRIVALS_WAITING) {
-            out.answerUnavailable(request);
+            outbox.answerUnavailable(request);
             return;
         }
         Map<String, Object> record =
-                JobRecord.open(roomiestPart.applyAsInt(spec), spec, out.now.wallMs()).write();
+                JobRecord.open(roomiestPart.applyAsInt(spec), spec, outbox.now.wallMs()).write();
         int bytes = FieldMap.jsonLength(record);
         if (bytes > settings.valueBytes()) {
             tooLong.accept(request, spec.id());
@@ -87,7 +87,7 @@
                 spec.id(),
                 new Arriving(
                         spec,
-                        out.now.steadyMs(),
+                        outbox.now.steadyMs(),
                         record,
                         bytes + Tuning.RECORD_FRAME,
                         new ArrayList<>(List.of(request))));
@@ -102,9 +102,10 @@
         queue.values()
                 .removeIf(
                         a -> {
-                            boolean late = out.now.steadyMs() - a.sinceMs > Tuning.ACCEPT_WAIT_MS;
+                            boolean late =
+                                    outbox.now.steadyMs() - a.sinceMs > Tuning.ACCEPT_WAIT_MS;
                             if (late) {
-                                a.requests.forEach(out::answerUnavailable);
+                                a.requests.forEach(outbox::answerUnavailable);
                             }
                             return late;
                         });
@@ -138,7 +139,7 @@
             writes.put(key, ArrivalRecord.write(jobs));
         }
         boolean sent =
-                out.stateForUser(
+                outbox.stateForUser(
                         new StateOp.Multi(guards, writes),
                         reply -> {
                             writing--;
@@ -159,7 +160,7 @@
                     a ->
                             a.requests.forEach(
                                     r ->
-                                            out.answer(
+                                            outbox.answer(
                                                     r,
                                                     new Response.JobState(
                                                             a.spec.id(),
@@ -178,7 +179,7 @@
         } else if (reply.status() == 429) {
             batch.forEach(this::again);
         } else {
-            batch.forEach(a -> a.requests.forEach(out::answerUnavailable));
+            batch.forEach(a -> a.requests.forEach(outbox::answerUnavailable));
         }
     }
 
--- a/src/main/java/org/shoreusher/core/Arrivals.java
+++ b/src/main/java/org/shoreusher/core/Arrivals.java
@@ -26,7 +26,7 @@
     private record Arrived(JobRecord record, long version) {}
 
     private final Settings settings;
-    private final Outbox out;
+    private final Outbox outbox;
     private final StoreView view;
 
     /** Jobs without a record of their own. */
@@ -40,9 +40,9 @@
     private boolean removing;
     private long nextMs;
 
-    Arrivals(Settings settings, Outbox out, StoreView view) {
+    Arrivals(Settings settings, Outbox outbox, StoreView view) {
         this.settings = settings;
-        this.out = out;
+        this.outbox = outbox;
         this.view = view;
     }
 
@@ -107,10 +107,10 @@
 
     /** Removes shared records of which nothing is needed any more, without haste. */
     void sweep(PartOwnership ownership) {
-        if (removing || out.now.steadyMs() < nextMs) {
+        if (removing || outbox.now.steadyMs() < nextMs) {
             return;
         }
-        nextMs = out.now.steadyMs() + Tuning.SWEEP_EVERY_MS;
+        nextMs = outbox.now.steadyMs() + Tuning.SWEEP_EVERY_MS;
         Map<String, Long> guards = new LinkedHashMap<>(ownership.fence());
         Map<String, Map<String, Object>> writes = new LinkedHashMap<>();
         shared.forEach(
@@ -122,7 +122,7 @@
                 });
         if (!writes.isEmpty()) {
             removing =
-                    out.state(
+                    outbox.state(
                             new StateOp.Multi(guards, writes),
                             reply -> {
                                 removing = false;
--- a/src/main/java/org/shoreusher/core/Balancing.java
+++ b/src/main/java/org/shoreusher/core/Balancing.java
@@ -45,7 +45,7 @@
     }
 
     private final Part part;
-    private final Outbox out;
+    private final Outbox outbox;
     private final ResourceLedger ledger;
     private final Balancer balancer;
     private final Map<TaskId, Reservation> reservations = new LinkedHashMap<>();
@@ -55,7 +55,7 @@
     Balancing(Part part, NodeContext context, ResourceLedger ledger) {
         this.part = part;
         this.ledger = ledger;
-        out = context.out();
+        outbox = context.outbox();
         BalanceSettings settings = context.features().balance();
         balancer = settings == null ? null : new Balancer(settings, patience(context));
     }
@@ -78,7 +78,6 @@
     void reported(Machine m) {
         if (!off()) {
             balancer.load().machine(m.id, m.zone, m.type.cpus(), m.type.fetchGbPerS());
-            balancer.load().reported(m.id, out.now.steadyMs());
         }
     }
 
@@ -108,7 +107,7 @@
         if (!off()) {
             JobSpec spec = live.job.spec;
             balancer.load().taskAdded(live.machine.id, spec.team(), spec.cpus(), spec.image());
-            balancer.budget().taskAdded(spec.jobClass(), out.now.steadyMs());
+            balancer.budget().taskAdded(spec.jobClass(), outbox.now.steadyMs());
         }
     }
 
@@ -119,19 +118,19 @@
         }
         JobSpec spec = live.job.spec;
         balancer.load().taskRemoved(live.machine.id, spec.team(), spec.cpus());
-        balancer.budget().taskRemoved(spec.jobClass(), out.now.steadyMs());
+        balancer.budget().taskRemoved(spec.jobClass(), outbox.now.steadyMs());
         Reservation r = reservations.get(new TaskId(live.job.id, live.index));
         if (r == null || r.source != live) {
             return;
         }
         if (live.job.done.get(live.index)) {
             release(r);
-            balancer.completed(r.move, out.now.steadyMs());
-            out.log("move: " + r.move.task().id() + " had completed before it was stopped");
+            balancer.completed(r.move, outbox.now.steadyMs());
+            outbox.log("move: " + r.move.task().id() + " had completed before it was stopped");
         } else if (live.job.closed) {
             abandon(r, Move.Reason.JOB_CLOSED);
         } else {
-            balancer.leftSource(r.move, live.saved, out.now.steadyMs());
+            balancer.leftSource(r.move, live.saved, outbox.now.steadyMs());
             r.left = true;
             live.job.setWaiting(live.index, false);
             ledger.hold(spec);
@@ -197,13 +196,13 @@
                 abandon(r, Move.Reason.TEAM_LIMIT);
             } else {
                 release(r);
-                balancer.started(r.move, out.now.steadyMs());
-                out.log(
+                balancer.started(r.move, outbox.now.steadyMs());
+                outbox.log(
                         "moved: %s to %s after %.1f s%s"
                                 .formatted(
                                         r.move.task().id(),
                                         m.id,
-                                        (out.now.steadyMs() - r.move.begunMs()) / 1000.0,
+                                        (outbox.now.steadyMs() - r.move.begunMs()) / 1000.0,
                                         r.source.saved ? ", saved" : ""));
                 ready.add(r.move.task().id());
             }
@@ -215,10 +214,10 @@
 
     /** Looks after the moves under way, and begins new ones. */
     void step() {
-        if (off() || out.now.steadyMs() < nextStepMs) {
+        if (off() || outbox.now.steadyMs() < nextStepMs) {
             return;
         }
-        nextStepMs = out.now.steadyMs() + Tuning.BALANCE_EVERY_MS;
+        nextStepMs = outbox.now.steadyMs() + Tuning.BALANCE_EVERY_MS;
         for (Reservation r : List.copyOf(reservations.values())) {
             check(r);
         }
@@ -226,11 +225,11 @@
         // what is known of the machines is then not what is on them.
         if (part.rebuilt() && part.mayStart()) {
             balancer.demand(demand());
-            balancer.plan(this, out.now.steadyMs()).forEach(this::begin);
+            balancer.plan(this, outbox.now.steadyMs()).forEach(this::begin);
         }
-        if (out.now.steadyMs() >= nextLineMs && balancer.statistics().moves() > 0) {
-            nextLineMs = out.now.steadyMs() + Tuning.STATUS_LINE_MS;
-            out.detail("balance: part " + part.n + " " + balancer.statistics().line());
+        if (outbox.now.steadyMs() >= nextLineMs && balancer.statistics().moves() > 0) {
+            nextLineMs = outbox.now.steadyMs() + Tuning.STATUS_LINE_MS;
+            outbox.detail("balance: part " + part.number + " " + balancer.statistics().line());
         }
     }
 
@@ -248,7 +247,7 @@
     }
 
     private void check(Reservation r) {
-        Move.Reason late = balancer.overdue(r.move, out.now.steadyMs());
+        Move.Reason late = balancer.overdue(r.move, outbox.now.steadyMs());
         if (r.source.job.closed) {
             abandon(r, Move.Reason.JOB_CLOSED);
         } else if (part.machines().get(r.target.id) != r.target || !part.available(r.target)) {
@@ -266,7 +265,7 @@
         r.target.reserve(r.spec(), 1);
         live.stopping = true;
         part.stops().halt(live, TaskStops.graceS(live));
-        out.log(
+        outbox.log(
                 "move: %s from %s to %s, spread of %s %.2f, gain %.0f s"
                         .formatted(
                                 move.task().id(),
@@ -279,8 +278,8 @@
 
     private void abandon(Reservation r, Move.Reason reason) {
         release(r);
-        balancer.abandon(r.move, reason, out.now.steadyMs());
-        out.log(
+        balancer.abandon(r.move, reason, outbox.now.steadyMs());
+        outbox.log(
                 "move: "
                         + r.move.task().id()
                         + " abandoned, "
@@ -329,13 +328,13 @@
                 && !spec.oneZone()
                 && !spec.spread()
                 && live.job.live.get(live.index) == live
-                && out.now.steadyMs() - live.sinceMs > Tuning.START_COUNTS_MS
-                && part.urgency().canSpare(live.job, out.now.wallMs());
+                && outbox.now.steadyMs() - live.sinceMs > Tuning.START_COUNTS_MS
+                && part.urgency().canSpare(live.job, outbox.now.wallMs());
     }
 
     private MovableTask task(TaskAttempt live) {
         JobSpec spec = live.job.spec;
-        double ranS = (out.now.steadyMs() - live.runningSinceMs) / 1000.0;
+        double ranS = (outbox.now.steadyMs() - live.runningSinceMs) / 1000.0;
         return new MovableTask(
                 new TaskId(live.job.id, live.index),
                 spec.jobClass(),
--- a/src/main/java/org/shoreusher/core/ConfirmedReads.java
+++ b/src/main/java/org/shoreusher/core/ConfirmedReads.java
@@ -32,7 +32,7 @@
     private record Unseen(Question question, long revision, long sinceMs) {}
 
     private final Settings settings;
-    private final Outbox out;
+    private final Outbox outbox;
     private final StoreView view;
     private final Arrivals arrivals;
     private final EndedJobs ended;
@@ -47,13 +47,13 @@
 
     ConfirmedReads(
             Settings settings,
-            Outbox out,
+            Outbox outbox,
             StoreView view,
             Arrivals arrivals,
             EndedJobs ended,
             LongPredicate refuse) {
         this.settings = settings;
-        this.out = out;
+        this.outbox = outbox;
         this.view = view;
         this.arrivals = arrivals;
         this.ended = ended;
@@ -98,7 +98,7 @@
         }
         questions.subList(0, batch.size()).clear();
         boolean sent =
-                out.stateForUser(
+                outbox.stateForUser(
                         new StateOp.Multi(guards, Map.of()),
                         reply -> {
                             readsInFlight--;
@@ -107,7 +107,7 @@
         if (sent) {
             readsInFlight++;
         } else {
-            batch.forEach(q -> out.answerUnavailable(q.request()));
+            batch.forEach(q -> outbox.answerUnavailable(q.request()));
         }
     }
 
@@ -120,7 +120,7 @@
                 batch.forEach(q -> changed.add(StoreSchema.job(q.id())));
             }
         } else if (reply.status() != 200) {
-            batch.forEach(q -> out.answerUnavailable(q.request()));
+            batch.forEach(q -> outbox.answerUnavailable(q.request()));
             return;
         }
         for (Question q : batch) {
@@ -155,9 +155,9 @@
                     new Unseen(
                             q,
                             StateFormat.revision(new FieldMap(reply.body())),
-                            out.now.steadyMs()));
+                            outbox.now.steadyMs()));
         } catch (FieldMap.Missing e) {
-            out.answerUnavailable(q.request());
+            outbox.answerUnavailable(q.request());
         }
     }
 
@@ -167,9 +167,9 @@
             if (view.revision() >= u.revision()) {
                 unseen.remove(u);
                 u.question().then().accept(seen(u.question().id()));
-            } else if (out.now.steadyMs() - u.sinceMs() > Tuning.UNSEEN_WAIT_MS) {
+            } else if (outbox.now.steadyMs() - u.sinceMs() > Tuning.UNSEEN_WAIT_MS) {
                 unseen.remove(u);
-                out.answerUnavailable(u.question().request());
+                outbox.answerUnavailable(u.question().request());
             }
         }
     }
@@ -185,7 +185,7 @@
         }
         readingAlone++;
         boolean sent =
-                out.stateForUser(
+                outbox.stateForUser(
                         new StateOp.Get(StoreSchema.job(q.id())),
                         reply -> {
                             readingAlone--;
@@ -194,7 +194,7 @@
                                 return;
                             }
                             if (reply.status() != 200) {
-                                out.answerUnavailable(q.request());
+                                outbox.answerUnavailable(q.request());
                                 return;
                             }
                             try {
@@ -202,12 +202,12 @@
                                 view.apply(e.key(), e.value(), e.version());
                                 q.then().accept(JobRecord.read(e.value()));
                             } catch (FieldMap.Missing x) {
-                                out.answerUnavailable(q.request());
+                                outbox.answerUnavailable(q.request());
                             }
                         });
         if (!sent) {
             readingAlone--;
-            out.answerUnavailable(q.request());
+            outbox.answerUnavailable(q.request());
         }
     }
 }
--- a/src/main/java/org/shoreusher/core/EndedJobs.java
+++ b/src/main/java/org/shoreusher/core/EndedJobs.java
@@ -16,7 +16,7 @@
     private record Leaving(String id, long atMs) {}
 
     private final Settings settings;
-    private final Outbox out;
+    private final Outbox outbox;
     private final StoreView view;
 
     /** Ended jobs, dropped from the view; a cache because the store has them for ever. */
@@ -26,9 +26,9 @@
     /** Cancelled jobs that are yet in the view, the longest cancelled first. */
     private final ArrayDeque<Leaving> leaving = new ArrayDeque<>();
 
-    EndedJobs(Settings settings, Outbox out, StoreView view) {
+    EndedJobs(Settings settings, Outbox outbox, StoreView view) {
         this.settings = settings;
-        this.out = out;
+        this.outbox = outbox;
         this.view = view;
     }
 
@@ -51,13 +51,13 @@
         leaving.add(
                 new Leaving(
                         id,
-                        out.now.steadyMs()
+                        outbox.now.steadyMs()
                                 + (long) (settings.cancelS() * 1000 * Tuning.CANCELLED_KEPT)));
     }
 
     /** Drops the records of jobs that have been cancelled for long. */
     void step() {
-        while (!leaving.isEmpty() && leaving.peek().atMs() <= out.now.steadyMs()) {
+        while (!leaving.isEmpty() && leaving.peek().atMs() <= outbox.now.steadyMs()) {
             String id = leaving.poll().id();
             StoreView.Entry entry = view.get(StoreSchema.job(id));
             if (entry != null) {
--- a/src/main/java/org/shoreusher/core/FinalStates.java
+++ b/src/main/java/org/shoreusher/core/FinalStates.java
@@ -8,7 +8,7 @@
 
 /** Writes the final state of jobs whose last task has finished; users are told only after that. */
 final class FinalStates {
-    private final Outbox out;
+    private final Outbox outbox;
     private final StoreView view;
     private final Arrivals arrivals;
     private final PartOwnership ownership;
@@ -16,8 +16,8 @@
     /** Jobs whose last task has finished and whose final state is not yet written. */
     private final List<Job> complete = new ArrayList<>();
 
-    FinalStates(Outbox out, StoreView view, Arrivals arrivals, PartOwnership ownership) {
-        this.out = out;
+    FinalStates(Outbox outbox, StoreView view, Arrivals arrivals, PartOwnership ownership) {
+        this.outbox = outbox;
         this.view = view;
         this.arrivals = arrivals;
         this.ownership = ownership;
@@ -45,7 +45,7 @@
                     Map.of(StoreSchema.job(job.id), record.done().write());
             // A refusal means that the user's cancellation came first; the view will show it.
             job.finishing =
-                    out.state(
+                    outbox.state(
                             new StateOp.Multi(
                                     ownership.guards(
                                             StoreSchema.job(job.id),
--- a/src/main/java/org/shoreusher/core/Fleet.java
+++ b/src/main/java/org/shoreusher/core/Fleet.java
@@ -14,7 +14,7 @@
 final class Fleet {
     private final Part part;
     private final Settings settings;
-    private final Outbox out;
+    private final Outbox outbox;
     private final MachineTypes types;
     private final Rentals rentals;
     private final MachineList list;
@@ -29,16 +29,16 @@
     private double lacksCpus;
     private long nextPlanMs;
 
-    Fleet(Part part, Settings settings, Outbox out, MachineTypes types) {
+    Fleet(Part part, Settings settings, Outbox outbox, MachineTypes types) {
         this.part = part;
         this.settings = settings;
-        this.out = out;
+        this.outbox = outbox;
         this.types = types;
-        rentals = new Rentals(part, settings, out, this);
-        list = new MachineList(part, settings, out, types);
+        rentals = new Rentals(part, settings, outbox, this);
+        list = new MachineList(part, settings, outbox, types);
         standby = new StandbyCapacity(part, settings, types, rentals);
-        retirement = new Retirement(part, settings, out);
-        returns = new Returns(part, out);
+        retirement = new Retirement(part, settings, outbox);
+        returns = new Returns(part, outbox);
     }
 
     void step() {
@@ -46,8 +46,8 @@
             return;
         }
         rentals.step();
-        if (out.now.steadyMs() >= nextPlanMs) {
-            nextPlanMs = out.now.steadyMs() + Tuning.RENT_EVERY_MS;
+        if (outbox.now.steadyMs() >= nextPlanMs) {
+            nextPlanMs = outbox.now.steadyMs() + Tuning.RENT_EVERY_MS;
             if (part.rebuilt()) {
                 retirement.step();
             }
@@ -73,7 +73,7 @@
 
     /** All requests of the last plan are answered: the next one, made at once, may want more. */
     void planSoon() {
-        nextPlanMs = out.now.steadyMs();
+        nextPlanMs = outbox.now.steadyMs();
     }
 
     // ---- renting -----------------------------------------------------------------------------
@@ -213,7 +213,7 @@
                     && m.unused()
                     && m.state == Machine.State.UP
                     && m.recordedUsed
-                    && out.now.steadyMs() - m.idleSinceMs > Tuning.HANDOVER_IDLE_MS) {
+                    && outbox.now.steadyMs() - m.idleSinceMs > Tuning.HANDOVER_IDLE_MS) {
                 part.records().handOver(m, to);
                 most--;
                 spare.remove(m);
@@ -262,7 +262,7 @@
             return job.waitingCount;
         }
         double run = part.estimates().runS(job);
-        double left = part.urgency().leftS(job, out.now.wallMs());
+        double left = part.urgency().leftS(job, outbox.now.wallMs());
         // What can't be through in time on a machine that has yet to boot gains nothing from haste.
         boolean tooLate = left < type.bootS() + run;
         double horizon =
@@ -343,7 +343,7 @@
                     && !needed.contains(m)
                     && m.idleSinceMs >= 0
                     && !standby.needs(m)
-                    && out.now.steadyMs() - m.idleSinceMs
+                    && outbox.now.steadyMs() - m.idleSinceMs
                             > (m.spot ? Tuning.IDLE_KEEP_MS : Tuning.IDLE_KEEP_ORDINARY_MS)) {
                 m.state = Machine.State.DRAINING;
                 m.unneeded = true;
--- a/src/main/java/org/shoreusher/core/MachineLifecycle.java
+++ b/src/main/java/org/shoreusher/core/MachineLifecycle.java
@@ -8,7 +8,7 @@
     private final Part part;
     private final int parts;
     private final Settings settings;
-    private final Outbox out;
+    private final Outbox outbox;
     private final MachineIndex index;
     private final MachineTypes types;
     private final Part.Others others;
@@ -28,7 +28,7 @@
         this.ownership = ownership;
         this.ledger = ledger;
         settings = context.settings();
-        out = context.out();
+        outbox = context.outbox();
         index = context.index();
         types = context.types();
     }
@@ -62,7 +62,7 @@
             return null;
         }
         Machine m = new Machine(id, type, zone, spot, rentedWallMs);
-        m.answeredAtMs = out.now.steadyMs();
+        m.answeredAtMs = outbox.now.steadyMs();
         part.machines().put(id, m);
         part.records().changed(id);
         return m;
@@ -72,11 +72,11 @@
     void endSilent() {
         for (Machine m : part.machines().values()) {
             if (!m.tasks.isEmpty() && part.leaseEnded(m)) {
-                out.log(
+                outbox.log(
                         "silent: "
                                 + m.id
                                 + " of part "
-                                + part.n
+                                + part.number
                                 + " lost its lease with "
                                 + m.tasks.size()
                                 + " tasks");
@@ -88,7 +88,7 @@
 
     /** The machine and everything on it are gone. */
     void gone(Machine m, String why) {
-        out.log("gone: " + m.id + " of part " + part.n + ", " + why);
+        outbox.log("gone: " + m.id + " of part " + part.number + ", " + why);
         m.tasksNow().forEach(ledger::remove);
         part.removeMachine(m.id);
         part.records().changed(m.id);
@@ -105,7 +105,7 @@
 
     /** Whether this part is the one to take on a machine that no record shows. */
     boolean strayHere(String id) {
-        return index.get(id) == null && Math.floorMod(id.hashCode(), parts) == part.n;
+        return index.get(id) == null && Math.floorMod(id.hashCode(), parts) == part.number;
     }
 
     /**
@@ -116,10 +116,10 @@
         // A write from before a machine's end may come into the view after it.
         if (part.loaded()
                 && m == null
-                && record.part() == part.n
+                && record.part() == part.number
                 && !part.fleet().list().isGone(id)) {
             addMachine(id, record);
-        } else if (m != null && m.tasks.isEmpty() && record.part() != part.n) {
+        } else if (m != null && m.tasks.isEmpty() && record.part() != part.number) {
             part.removeMachine(id);
         }
     }
--- a/src/main/java/org/shoreusher/core/MachineList.java
+++ b/src/main/java/org/shoreusher/core/MachineList.java
@@ -22,7 +22,7 @@
 final class MachineList {
     private final Part part;
     private final Settings settings;
-    private final Outbox out;
+    private final Outbox outbox;
     private final MachineTypes types;
 
     /** Machines that lists show and no record does, with the moment they were first seen. */
@@ -49,10 +49,10 @@
         }
     }
 
-    MachineList(Part part, Settings settings, Outbox out, MachineTypes types) {
+    MachineList(Part part, Settings settings, Outbox outbox, MachineTypes types) {
         this.part = part;
         this.settings = settings;
-        this.out = out;
+        this.outbox = outbox;
         this.types = types;
     }
 
@@ -82,12 +82,12 @@
             return;
         }
         if (reading == null) {
-            if (out.now.steadyMs() < nextListMs) {
+            if (outbox.now.steadyMs() < nextListMs) {
                 return;
             }
-            reading = new Reading(out.now, new ArrayList<>());
+            reading = new Reading(outbox.now, new ArrayList<>());
         }
-        awaitingReply = out.cloud(new CloudOp.Listing(reading.lastName()), this::replied);
+        awaitingReply = outbox.cloud(new CloudOp.Listing(reading.lastName()), this::replied);
     }
 
     private void replied(CloudReply reply) {
@@ -95,7 +95,7 @@
         Reading current = reading;
         // A rebuild waits for machines that are gone, until a list no longer shows them.
         nextListMs =
-                out.now.steadyMs()
+                outbox.now.steadyMs()
                         + (part.rebuilt() ? Tuning.LIST_EVERY_MS : Tuning.LIST_IN_REBUILD_MS);
         reading = null;
         if (reply.status() != 200 || part.lost()) {
@@ -111,7 +111,7 @@
                 listed(current.machines(), current.askedAt());
             }
         } catch (FieldMap.Missing e) {
-            out.log("cloud: machine list not understood: " + e.getMessage());
+            outbox.log("cloud: machine list not understood: " + e.getMessage());
         }
     }
 
@@ -149,21 +149,21 @@
      */
     private void stray(Listed l) {
         if (!strays.containsKey(l.id())) {
-            strays.put(l.id(), out.now.steadyMs());
-        } else if (out.now.steadyMs() - strays.getLong(l.id())
+            strays.put(l.id(), outbox.now.steadyMs());
+        } else if (outbox.now.steadyMs() - strays.getLong(l.id())
                 > (gone.contains(l.id())
                         ? Tuning.GONE_STILL_LISTED_MS
                         : 2 * Tuning.LIST_EVERY_MS)) {
             strays.removeLong(l.id());
             gone.remove(l.id());
-            out.log("adopted: " + l.id() + " in part " + part.n);
+            outbox.log("adopted: " + l.id() + " in part " + part.number);
             part.lifecycle()
                     .add(
                             l.id(),
                             types.get(l.type()),
                             l.zone(),
                             l.spot(),
-                            out.now.wallMs() - (long) (l.ageS() * 1000));
+                            outbox.now.wallMs() - (long) (l.ageS() * 1000));
         }
     }
 }
--- a/src/main/java/org/shoreusher/core/MachineRecords.java
+++ b/src/main/java/org/shoreusher/core/MachineRecords.java
@@ -19,9 +19,9 @@
  * can't undo each other.
  */
 final class MachineRecords {
-    private final int n;
+    private final int partNumber;
     private final Settings settings;
-    private final Outbox out;
+    private final Outbox outbox;
     private final StoreView view;
     private final MachineIndex index;
     private final MemberFormats formats;
@@ -40,15 +40,15 @@
     private long nextMs;
 
     MachineRecords(
-            int n,
+            int partNumber,
             NodeContext context,
             PartOwnership ownership,
             Map<String, Machine> machines,
             Consumer<String> handedOver) {
         this.handedOver = handedOver;
-        this.n = n;
+        this.partNumber = partNumber;
         settings = context.settings();
-        out = context.out();
+        outbox = context.outbox();
         view = context.view();
         index = context.index();
         formats = context.formats();
@@ -82,7 +82,7 @@
         // narrow one again later.
         boolean mixed = narrow() && !formats.services();
         return new MachineRecord(
-                handing ? m.handTo : n,
+                handing ? m.handTo : partNumber,
                 m.type.name(),
                 m.zone,
                 m.spot,
@@ -103,7 +103,7 @@
         if (recording
                 || (dirty.isEmpty() && splitting.isEmpty())
                 || !ownership.holds()
-                || out.now.steadyMs() < nextMs) {
+                || outbox.now.steadyMs() < nextMs) {
             return;
         }
         split();
@@ -131,7 +131,7 @@
             return;
         }
         recording =
-                out.state(
+                outbox.state(
                         new StateOp.Multi(guards, writes),
                         reply -> {
                             recording = false;
@@ -144,7 +144,7 @@
                             settle(batch);
                         });
         if (recording) {
-            nextMs = out.now.steadyMs() + Tuning.RECORDS_EVERY_MS;
+            nextMs = outbox.now.steadyMs() + Tuning.RECORDS_EVERY_MS;
         } else {
             dirty.addAll(batch);
         }
@@ -167,9 +167,9 @@
             MachineRecord wanted = wanted(id);
             MachineRecord known = group.get(id);
             // Another part's machine is not this one's to write about.
-            if (wanted == null && known != null && known.part() == n) {
+            if (wanted == null && known != null && known.part() == partNumber) {
                 group.remove(id);
-            } else if (wanted != null && (known == null || known.part() == n)) {
+            } else if (wanted != null && (known == null || known.part() == partNumber)) {
                 group.put(id, wanted);
             }
         }
@@ -182,7 +182,7 @@
      */
     private boolean standsElsewhere(String id) {
         return index.group(StoreSchema.machine(id, false)).containsKey(id)
-                || (index.group(StoreSchema.machine(id, true)).get(id).part() == n
+                || (index.group(StoreSchema.machine(id, true)).get(id).part() == partNumber
                         && !machines.containsKey(id));
     }
 
@@ -200,7 +200,8 @@
                 index.group(wide)
                         .forEach(
                                 (other, record) -> {
-                                    if (record.part() == n && machines.containsKey(other)) {
+                                    if (record.part() == partNumber
+                                            && machines.containsKey(other)) {
                                         dirty.add(other);
                                     }
                                 });
@@ -216,12 +217,18 @@
         for (String id : batch) {
             Machine m = machines.get(id);
             MachineRecord record = index.get(id);
-            if (m != null && record != null && record.part() != n) {
+            if (m != null && record != null && record.part() != partNumber) {
                 if (m.state == Machine.State.HANDING) {
-                    out.log("handover: " + id + " from part " + n + " to part " + record.part());
+                    outbox.log(
+                            "handover: "
+                                    + id
+                                    + " from part "
+                                    + partNumber
+                                    + " to part "
+                                    + record.part());
                 }
                 handedOver.accept(id);
-            } else if (record != null && record.part() != n) {
+            } else if (record != null && record.part() != partNumber) {
                 continue;
             } else if (m == null
                     && record != null
--- a/src/main/java/org/shoreusher/core/MachineTypes.java
+++ b/src/main/java/org/shoreusher/core/MachineTypes.java
@@ -18,16 +18,16 @@
  */
 final class MachineTypes {
     private final Settings settings;
-    private final Outbox out;
+    private final Outbox outbox;
     private final StoreView view;
     private final Object2ObjectOpenHashMap<String, MachineType> types =
             new Object2ObjectOpenHashMap<>();
     private boolean busy;
     private long nextMs;
 
-    MachineTypes(Settings settings, Outbox out, StoreView view) {
+    MachineTypes(Settings settings, Outbox outbox, StoreView view) {
         this.settings = settings;
-        this.out = out;
+        this.outbox = outbox;
         this.view = view;
     }
 
@@ -45,24 +45,24 @@
 
     /** Asks the cloud if this node rents (prices change) or if nobody has told the types yet. */
     void step(boolean renting) {
-        if (!view.loaded() || busy || out.now.steadyMs() < nextMs || (known() && !renting)) {
+        if (!view.loaded() || busy || outbox.now.steadyMs() < nextMs || (known() && !renting)) {
             return;
         }
-        busy = out.cloud(new CloudOp.Types(), this::replied);
+        busy = outbox.cloud(new CloudOp.Types(), this::replied);
     }
 
     private void replied(CloudReply reply) {
         busy = false;
-        nextMs = out.now.steadyMs() + Tuning.CLOUD_RETRY_MS;
+        nextMs = outbox.now.steadyMs() + Tuning.CLOUD_RETRY_MS;
         if (reply.status() != 200) {
             return;
         }
-        nextMs = out.now.steadyMs() + Tuning.FLAVORS_EVERY_MS;
+        nextMs = outbox.now.steadyMs() + Tuning.FLAVORS_EVERY_MS;
         boolean first =
                 view.get(StoreSchema.TYPES) == null
                         && FieldMap.jsonLength(reply.body()) <= settings.valueBytes();
         if (read(reply.body()) && first) {
-            out.state(
+            outbox.state(
                     new StateOp.Multi(
                             Map.of(StoreSchema.TYPES, 0L), Map.of(StoreSchema.TYPES, reply.body())),
                     stored -> {});
@@ -82,7 +82,7 @@
             list.forEach(t -> types.put(t.name(), t));
             return !list.isEmpty();
         } catch (FieldMap.Missing e) {
-            out.log("cloud: types not understood: " + e.getMessage());
+            outbox.log("cloud: types not understood: " + e.getMessage());
             return false;
         }
     }
--- a/src/main/java/org/shoreusher/core/MemberFormats.java
+++ b/src/main/java/org/shoreusher/core/MemberFormats.java
@@ -26,7 +26,7 @@
     private static final String PROCESS = "process";
 
     private final Settings settings;
-    private final Outbox out;
+    private final Outbox outbox;
     private final StoreView view;
     private final String process;
     private final int parts;
@@ -45,9 +45,9 @@
     /**
      * @param process the name of this process, which no other has ever had
      */
-    MemberFormats(Settings settings, Outbox out, StoreView view, String process, int parts) {
+    MemberFormats(Settings settings, Outbox outbox, StoreView view, String process, int parts) {
         this.settings = settings;
-        this.out = out;
+        this.outbox = outbox;
         this.view = view;
         this.process = process;
         this.parts = parts;
@@ -66,7 +66,7 @@
             return;
         }
         logChange();
-        if (!writing && out.now.steadyMs() >= nextMs && !noted()) {
+        if (!writing && outbox.now.steadyMs() >= nextMs && !noted()) {
             note();
         }
     }
@@ -77,12 +77,12 @@
     }
 
     private void note() {
-        nextMs = out.now.steadyMs() + Tuning.STATE_RETRY_MS;
+        nextMs = outbox.now.steadyMs() + Tuning.STATE_RETRY_MS;
         String key = StoreSchema.node(settings.host());
         Map<String, Map<String, Object>> writes =
                 Map.of(key, Map.of(FORMATS, SERVICES, PROCESS, process));
         writing =
-                out.state(
+                outbox.state(
                         new StateOp.Multi(Map.of(key, view.version(key)), writes),
                         reply -> {
                             writing = false;
@@ -143,9 +143,10 @@
         }
         loggedOld = old;
         if (old.isEmpty()) {
-            out.log("upgrade: all members understand services, which are accepted from now on");
+            outbox.log("upgrade: all members understand services, which are accepted from now on");
         } else {
-            out.log("upgrade: services are refused until the members " + old + " run this version");
+            outbox.log(
+                    "upgrade: services are refused until the members " + old + " run this version");
         }
     }
 }
--- a/src/main/java/org/shoreusher/core/Node.java
+++ b/src/main/java/org/shoreusher/core/Node.java
@@ -18,7 +18,7 @@
  */
 public final class Node {
     private final Settings settings;
-    private final Outbox out;
+    private final Outbox outbox;
     private final StoreView view;
     private final MachineIndex index = new MachineIndex();
     private final Arrivals arrivals;
@@ -40,14 +40,14 @@
     public Node(Settings settings, Features features, String owner, int count) {
         this.settings = settings;
         dealt = new double[count];
-        out = new Outbox(settings, count);
-        view = new StoreView(out, settings, this::changed);
-        arrivals = new Arrivals(settings, out, view);
-        types = new MachineTypes(settings, out, view);
-        formats = new MemberFormats(settings, out, view, owner, count);
-        peers = new PeerHints(settings, out, count, this::ownedPart);
+        outbox = new Outbox(settings, count);
+        view = new StoreView(outbox, settings, this::changed);
+        arrivals = new Arrivals(settings, outbox, view);
+        types = new MachineTypes(settings, outbox, view);
+        formats = new MemberFormats(settings, outbox, view, owner, count);
+        peers = new PeerHints(settings, outbox, count, this::ownedPart);
         NodeContext context =
-                new NodeContext(settings, features, out, view, arrivals, index, types, formats);
+                new NodeContext(settings, features, outbox, view, arrivals, index, types, formats);
         parts = new Parts(count, context, peers, owner);
         users = new UserRequests(context, owner, this::counts, this::roomiestPart);
     }
@@ -58,7 +58,7 @@
 
     /** Works through a batch; the effects are to be carried out in order, at once. */
     public List<Effect> step(ClockReading now, List<Command> batch) {
-        out.now = now;
+        outbox.now = now;
         peers.started();
         for (Command command : batch) {
             handle(command);
@@ -71,14 +71,14 @@
         if (peers.tell()) {
             Arrays.fill(dealt, 0);
         }
-        return out.drain();
+        return outbox.drain();
     }
 
     private void handle(Command command) {
         if (command instanceof Command.Report r) {
             report(r);
         } else if (command instanceof Command.StateReply r) {
-            out.replied(r);
+            outbox.replied(r);
         } else if (command instanceof Command.Poll p) {
             users.poll(p.request(), p.id());
         } else if (command instanceof Command.Submit s) {
@@ -87,12 +87,12 @@
             users.cancel(c.request(), c.id());
         } else if (command instanceof Command.Ready r) {
             if (ready()) {
-                out.answer(r.request(), new Response.Ready());
+                outbox.answer(r.request(), new Response.Ready());
             } else {
-                out.answerUnavailable(r.request());
+                outbox.answerUnavailable(r.request());
             }
         } else if (command instanceof Command.CloudReply r) {
-            out.replied(r);
+            outbox.replied(r);
         } else if (command instanceof Command.PeerHint p) {
             peers.heard(p.hint());
         }
@@ -106,7 +106,7 @@
         if (!view.loaded() || !types.known()) {
             return false;
         }
-        return out.stateSilenceMs() < Tuning.READY_STATE_MS || !peers.anyWithStateService();
+        return outbox.stateSilenceMs() < Tuning.READY_STATE_MS || !peers.anyWithStateService();
     }
 
     private void report(Command.Report r) {
@@ -120,20 +120,20 @@
         }
         PartRecord record = view.loaded() ? parts.record(n) : null;
         if (record == null) {
-            out.answerUnavailable(r.request());
+            outbox.answerUnavailable(r.request());
         } else if (record.host().equals(settings.host()) || peers.suspect(record)) {
             String host = peers.meanwhile(record.host());
             if (host == null) {
-                out.answerUnavailable(r.request());
+                outbox.answerUnavailable(r.request());
             } else {
-                out.answer(r.request(), new Response.Elsewhere(host));
+                outbox.answer(r.request(), new Response.Elsewhere(host));
             }
         } else {
             boolean wait =
                     r.report().token() >= record.term()
                             && peers.cameBackHere(n, r.report(), index.all().size());
             String host = wait ? peers.meanwhile(record.host()) : null;
-            out.answer(r.request(), new Response.Elsewhere(host == null ? record.host() : host));
+            outbox.answer(r.request(), new Response.Elsewhere(host == null ? record.host() : host));
         }
     }
 
--- a/src/main/java/org/shoreusher/core/NodeContext.java
+++ b/src/main/java/org/shoreusher/core/NodeContext.java
@@ -7,7 +7,7 @@
 record NodeContext(
         Settings settings,
         Features features,
-        Outbox out,
+        Outbox outbox,
         StoreView view,
         Arrivals arrivals,
         MachineIndex index,
--- a/src/main/java/org/shoreusher/core/OtherParts.java
+++ b/src/main/java/org/shoreusher/core/OtherParts.java
@@ -7,19 +7,19 @@
 
 /** How a part stands beside the others: what it tells them, and what their hints tell of them. */
 final class OtherParts {
-    private final int n;
+    private final int partNumber;
     private final int parts;
     private final Part.Others others;
     private final Map<String, Job> jobs;
     private final Map<String, Machine> machines;
 
     OtherParts(
-            int n,
+            int partNumber,
             int parts,
             Part.Others others,
             Map<String, Job> jobs,
             Map<String, Machine> machines) {
-        this.n = n;
+        this.partNumber = partNumber;
         this.parts = parts;
         this.others = others;
         this.jobs = jobs;
@@ -30,7 +30,7 @@
     double claimed(String team) {
         double cpus = 0;
         for (int m = 0; m < parts; m++) {
-            PartHint hint = m == n ? null : others.hint(m);
+            PartHint hint = m == partNumber ? null : others.hint(m);
             Claim claim = hint == null ? null : hint.claims().get(team);
             cpus += claim == null ? 0 : claim.urgent() + claim.other();
         }
@@ -41,9 +41,9 @@
     Claim[] claims(String team) {
         Claim[] claims = new Claim[parts];
         for (int m = 0; m < parts; m++) {
-            PartHint hint = m == n ? null : others.hint(m);
+            PartHint hint = m == partNumber ? null : others.hint(m);
             claims[m] =
-                    m == n
+                    m == partNumber
                             ? claim(team)
                             : hint == null
                                     ? null
@@ -103,7 +103,7 @@
     int idleElsewhere() {
         int idle = 0;
         for (int m = 0; m < parts; m++) {
-            PartHint hint = m == n ? null : others.hint(m);
+            PartHint hint = m == partNumber ? null : others.hint(m);
             idle += hint == null ? 0 : hint.idle();
         }
         return idle;
@@ -119,7 +119,7 @@
     int neediest() {
         int best = -1;
         for (int m = 0; m < parts; m++) {
-            if (m != n && lacksOf(m) > (best < 0 ? 0 : lacksOf(best))) {
+            if (m != partNumber && lacksOf(m) > (best < 0 ? 0 : lacksOf(best))) {
                 best = m;
             }
         }
--- a/src/main/java/org/shoreusher/core/Part.java
+++ b/src/main/java/org/shoreusher/core/Part.java
@@ -40,12 +40,12 @@
         long saidStateAwayUntilMs();
     }
 
-    final int n;
+    final int number;
     private final int parts;
     private final Others others;
     private final Quota quota;
     private final Settings settings;
-    private final Outbox out;
+    private final Outbox outbox;
     private final StoreView view;
     private final MachineTypes types;
     private final PartOwnership ownership;
@@ -74,25 +74,26 @@
     private long nextWalkMs;
     private long nextStatusMs;
 
-    Part(int n, int parts, NodeContext context, Others others, PartOwnership ownership) {
-        this.n = n;
+    Part(int number, int parts, NodeContext context, Others others, PartOwnership ownership) {
+        this.number = number;
         this.parts = parts;
         this.others = others;
         this.settings = context.settings();
-        this.out = context.out();
+        this.outbox = context.outbox();
         this.view = context.view();
         this.types = context.types();
         this.arrivals = context.arrivals();
         this.index = context.index();
         this.ownership = ownership;
-        this.quota = new Quota(n, parts, settings, out, view, ownership.fence());
-        this.records = new MachineRecords(n, context, ownership, machines, this::removeMachine);
+        this.quota = new Quota(number, parts, settings, outbox, view, ownership.fence());
+        this.records =
+                new MachineRecords(number, context, ownership, machines, this::removeMachine);
         this.urgency = new Urgency(settings, estimates);
-        this.fleet = new Fleet(this, settings, out, types);
-        this.otherParts = new OtherParts(n, parts, others, jobs, machines);
-        this.marks = new StartMarks(n, parts, context, ownership, jobs);
-        this.finalStates = new FinalStates(out, view, arrivals, ownership);
-        this.stops = new TaskStops(this, out);
+        this.fleet = new Fleet(this, settings, outbox, types);
+        this.otherParts = new OtherParts(number, parts, others, jobs, machines);
+        this.marks = new StartMarks(number, parts, context, ownership, jobs);
+        this.finalStates = new FinalStates(outbox, view, arrivals, ownership);
+        this.stops = new TaskStops(this, outbox);
         this.balancing = new Balancing(this, context, ledger);
         ledger.listen(balancing);
         this.rebuild = new Rebuild(this, context, ownership, marks);
@@ -163,11 +164,11 @@
     boolean unreachable() {
         if (!rebuild.loaded()
                 || !holds()
-                || out.now.steadyMs() - ownership.sinceMs() < Tuning.COMES_BACK_MS) {
+                || outbox.now.steadyMs() - ownership.sinceMs() < Tuning.COMES_BACK_MS) {
             return false;
         }
         // Asked in every batch, so machines are counted only when some have come to others.
-        int cameBack = others.cameBack(n);
+        int cameBack = others.cameBack(number);
         if (cameBack <= 1) {
             return false;
         }
@@ -232,7 +233,7 @@
                 && !m.yielding
                 && !m.deaf()
                 && Double.isNaN(m.noticeS)
-                && out.now.steadyMs() - m.reportedAtMs < quietMs();
+                && outbox.now.steadyMs() - m.reportedAtMs < quietMs();
     }
 
     /** ms after which a machine without a report counts as silent. */
@@ -288,10 +289,10 @@
         if (holds()) {
             arrivals.sweep(ownership);
         }
-        if (out.now.steadyMs() < nextWalkMs) {
+        if (outbox.now.steadyMs() < nextWalkMs) {
             return;
         }
-        nextWalkMs = out.now.steadyMs() + Tuning.WALK_MS;
+        nextWalkMs = outbox.now.steadyMs() + Tuning.WALK_MS;
         lifecycle.endSilent();
         rebuild.step();
         quota.step(teamRoom::used, otherParts::claims, otherParts::quantum);
@@ -299,9 +300,9 @@
         stops.displace();
         stops.preempt();
         balancing.step();
-        if (out.now.steadyMs() >= nextStatusMs) {
-            nextStatusMs = out.now.steadyMs() + Tuning.STATUS_LINE_MS;
-            out.detail(PartStatus.line(this, view.size()));
+        if (outbox.now.steadyMs() >= nextStatusMs) {
+            nextStatusMs = outbox.now.steadyMs() + Tuning.STATUS_LINE_MS;
+            outbox.detail(PartStatus.line(this, view.size()));
         }
     }
 
@@ -318,7 +319,7 @@
 
     /** Whether what an unheard machine held is surely gone. */
     boolean leaseEnded(Machine m) {
-        return out.now.steadyMs() > m.answeredAtMs + PartLease.workerLeaseMs(settings);
+        return outbox.now.steadyMs() > m.answeredAtMs + PartLease.workerLeaseMs(settings);
     }
 
     // ---- jobs --------------------------------------------------------------------------------
@@ -374,11 +375,11 @@
             if (job.waitingCount > 0
                     && !job.closed
                     && !job.zonesUnknown
-                    && !job.paused(out.now.steadyMs())) {
+                    && !job.paused(outbox.now.steadyMs())) {
                 list.add(job);
             }
         }
-        urgency.sort(list, out.now.wallMs());
+        urgency.sort(list, outbox.now.wallMs());
         return list;
     }
 
--- a/src/main/java/org/shoreusher/core/PartOwnership.java
+++ b/src/main/java/org/shoreusher/core/PartOwnership.java
@@ -17,9 +17,9 @@
  * lost it is lost for good; a part taken again gets a new one.
  */
 final class PartOwnership {
-    private final int n;
+    private final int partNumber;
     private final Settings settings;
-    private final Outbox out;
+    private final Outbox outbox;
     private final StoreView view;
     private final String owner;
     private final PartLease lease;
@@ -46,23 +46,23 @@
      * @param version the revision at which it was applied
      */
     PartOwnership(
-            int n,
+            int partNumber,
             Settings settings,
-            Outbox out,
+            Outbox outbox,
             StoreView view,
             PartRecord record,
             ClockReading writtenAt,
             long version) {
-        this.n = n;
+        this.partNumber = partNumber;
         this.settings = settings;
-        this.out = out;
+        this.outbox = outbox;
         this.view = view;
         owner = record.owner();
         term = record.term();
         takenTerm = term;
         fenceVersion = version;
         recordVersion = version;
-        takenAtMs = out.now.steadyMs();
+        takenAtMs = outbox.now.steadyMs();
         sinceMs = takenAtMs;
         lease = new PartLease(settings);
         lease.confirmed(record.expiryMs(), writtenAt);
@@ -75,12 +75,12 @@
 
     /** Whether commands may be given and effects decided. */
     boolean holds() {
-        return !lost && lease.holds(out.now);
+        return !lost && lease.holds(outbox.now);
     }
 
     /** Whether reports may at least be answered without commands. */
     boolean keepsAlive() {
-        return !lost && lease.keepsAlive(out.now);
+        return !lost && lease.keepsAlive(outbox.now);
     }
 
     long term() {
@@ -107,7 +107,7 @@
     }
 
     Map<String, Long> fence() {
-        return Map.of(StoreSchema.fence(n), fenceVersion);
+        return Map.of(StoreSchema.fence(partNumber), fenceVersion);
     }
 
     /** Whether the view shows all that was written up to the renewal that ended the last lapse. */
@@ -122,7 +122,8 @@
     void watchLapse() {
         if (!holds() && !lost && !lapsedLogged) {
             lapsedLogged = true;
-            out.log("lapse: part " + n + " term " + term + ", lease not renewed in time");
+            outbox.log(
+                    "lapse: part " + partNumber + " term " + term + ", lease not renewed in time");
         }
     }
 
@@ -131,17 +132,17 @@
      * loaded.
      */
     void heartbeat(Supplier<FinishedRecords> finished) {
-        if (renewing || out.now.steadyMs() < nextRenewMs) {
+        if (renewing || outbox.now.steadyMs() < nextRenewMs) {
             return;
         }
-        ClockReading sentAt = out.now;
+        ClockReading sentAt = outbox.now;
         long expiry = Math.max(lease.expiryWallMs(), sentAt.wallMs() + PartLease.leaseMs(settings));
         FinishedRecords records = finished.get();
         Map<String, Map<String, Object>> writes = new LinkedHashMap<>();
         PartRecord record =
                 new PartRecord(
                         owner, expiry, term, records == null ? doneInStore() : records.chunk(0));
-        writes.put(StoreSchema.part(n), record.write());
+        writes.put(StoreSchema.part(partNumber), record.write());
         // In turns: with many jobs every chunk changes between heartbeats, and the last ones must
         // become durable as well.
         int spilled = records == null ? 0 : records.chunks() - 1;
@@ -151,14 +152,15 @@
                 i++) {
             int c = 1 + (from + i - 1) % spilled;
             Map<String, Object> done = records.chunk(c);
-            if (!done.equals(storedDone(c)) || view.get(StoreSchema.done(n, c)) == null) {
-                writes.put(StoreSchema.done(n, c), new FinishedRecord(done).write());
+            if (!done.equals(storedDone(c)) || view.get(StoreSchema.done(partNumber, c)) == null) {
+                writes.put(StoreSchema.done(partNumber, c), new FinishedRecord(done).write());
                 lastChunk = c;
             }
         }
         renewing =
-                out.renewal(
-                        new StateOp.Multi(guards(StoreSchema.part(n), recordVersion), writes),
+                outbox.renewal(
+                        new StateOp.Multi(
+                                guards(StoreSchema.part(partNumber), recordVersion), writes),
                         reply -> {
                             renewing = false;
                             renewed(reply, record, sentAt, records, writes);
@@ -173,18 +175,18 @@
         if (chunk == 0) {
             return doneInStore();
         }
-        StoreView.Entry entry = view.get(StoreSchema.done(n, chunk));
+        StoreView.Entry entry = view.get(StoreSchema.done(partNumber, chunk));
         return entry == null ? Map.of() : FinishedRecord.read(entry.value()).ranges();
     }
 
     private Map<String, Object> doneInStore() {
-        return PartRecord.read(view.get(StoreSchema.part(n)).value()).done();
+        return PartRecord.read(view.get(StoreSchema.part(partNumber)).value()).done();
     }
 
     /** Guards for a write on one key: its version, and the fence that dies with this ownership. */
     Map<String, Long> guards(String key, long version) {
         Map<String, Long> guards = new LinkedHashMap<>();
-        guards.put(StoreSchema.fence(n), fenceVersion);
+        guards.put(StoreSchema.fence(partNumber), fenceVersion);
         guards.put(key, version);
         return guards;
     }
@@ -204,10 +206,10 @@
             nextRenewMs = sentAt.steadyMs() + PartLease.heartbeatMs(settings);
             if (lapsedLogged && holds()) {
                 lapsedLogged = false;
-                sinceMs = out.now.steadyMs();
-                out.log(
+                sinceMs = outbox.now.steadyMs();
+                outbox.log(
                         "renewed: part "
-                                + n
+                                + partNumber
                                 + " term "
                                 + term
                                 + " after a lapse, nobody had taken it");
@@ -217,19 +219,20 @@
             }
             return;
         }
-        nextRenewMs = out.now.steadyMs() + Tuning.HEARTBEAT_RETRY_MS;
+        nextRenewMs = outbox.now.steadyMs() + Tuning.HEARTBEAT_RETRY_MS;
         if (reply.status() == 409) {
             // Either somebody took the part, or an earlier renewal without an answer was applied.
             renewing =
-                    out.renewal(
-                            new StateOp.Multi(Map.of(StoreSchema.fence(n), fenceVersion), Map.of()),
+                    outbox.renewal(
+                            new StateOp.Multi(
+                                    Map.of(StoreSchema.fence(partNumber), fenceVersion), Map.of()),
                             fence -> {
                                 renewing = false;
                                 if (fence.status() == 409) {
                                     lose("its fence has changed");
                                 }
                             });
-            out.state(new StateOp.Get(StoreSchema.part(n)), this::rereadRecord);
+            outbox.state(new StateOp.Get(StoreSchema.part(partNumber)), this::rereadRecord);
         }
     }
 
@@ -252,11 +255,11 @@
             } else if (e.version() > recordVersion) {
                 recordVersion = e.version();
                 term = Math.max(term, record.term());
-                confirmed(record.expiryMs(), out.now);
-                nextRenewMs = out.now.steadyMs();
+                confirmed(record.expiryMs(), outbox.now);
+                nextRenewMs = outbox.now.steadyMs();
             }
         } catch (FieldMap.Missing x) {
-            out.log("state: part record not understood: " + x.getMessage());
+            outbox.log("state: part record not understood: " + x.getMessage());
         }
     }
 
@@ -268,29 +271,29 @@
         StoreView.Entry counter = view.get(StoreSchema.TERM);
         long counted = counter == null ? 0 : ((Number) counter.value().get("term")).longValue();
         long next = Math.max(counted, above) + 1;
-        Map<String, Long> guards = guards(StoreSchema.part(n), recordVersion);
+        Map<String, Long> guards = guards(StoreSchema.part(partNumber), recordVersion);
         guards.put(StoreSchema.TERM, counter == null ? 0 : counter.version());
         Map<String, Map<String, Object>> writes = new LinkedHashMap<>();
         PartRecord record = new PartRecord(owner, lease.expiryWallMs(), next, doneInStore());
-        writes.put(StoreSchema.part(n), record.write());
+        writes.put(StoreSchema.part(partNumber), record.write());
         writes.put(StoreSchema.TERM, Map.of("term", next));
         renewing =
-                out.renewal(
+                outbox.renewal(
                         new StateOp.Multi(guards, writes),
                         reply -> {
                             renewing = false;
                             if (reply.status() == 200 && !lost) {
                                 recordVersion = view.applied(reply, writes);
                                 term = next;
-                                out.log(
+                                outbox.log(
                                         "term: part "
-                                                + n
+                                                + partNumber
                                                 + " raised to "
                                                 + next
                                                 + " for a worker that has seen "
                                                 + above);
                             } else {
-                                nextRenewMs = out.now.steadyMs();
+                                nextRenewMs = outbox.now.steadyMs();
                             }
                         });
     }
@@ -313,10 +316,10 @@
             return;
         }
         PartRecord record = new PartRecord(owner, 0, term, done.chunk(0));
-        if (out.renewal(
+        if (outbox.renewal(
                 new StateOp.Multi(
-                        guards(StoreSchema.part(n), recordVersion),
-                        Map.of(StoreSchema.part(n), record.write())),
+                        guards(StoreSchema.part(partNumber), recordVersion),
+                        Map.of(StoreSchema.part(partNumber), record.write())),
                 reply -> {})) {
             lose("released: " + why);
         }
@@ -325,7 +328,7 @@
     private void lose(String why) {
         if (!lost) {
             lost = true;
-            out.log("lost: part " + n + " term " + term + ", " + why);
+            outbox.log("lost: part " + partNumber + " term " + term + ", " + why);
         }
     }
 }
--- a/src/main/java/org/shoreusher/core/PartStatus.java
+++ b/src/main/java/org/shoreusher/core/PartStatus.java
@@ -17,7 +17,7 @@
         Object2IntOpenHashMap<String> waiting = new Object2IntOpenHashMap<>();
         part.jobs().values().forEach(j -> waiting.addTo(j.spec.jobClass(), j.waitingCount));
         return "status: part "
-                + part.n
+                + part.number
                 + " term "
                 + part.term()
                 + ", machines "
--- a/src/main/java/org/shoreusher/core/Parts.java
+++ b/src/main/java/org/shoreusher/core/Parts.java
@@ -26,7 +26,7 @@
     }
 
     private final Settings settings;
-    private final Outbox out;
+    private final Outbox outbox;
     private final StoreView view;
     private final NodeContext context;
     private final String owner;
@@ -40,7 +40,7 @@
 
     Parts(int count, NodeContext context, Peers peers, String owner) {
         settings = context.settings();
-        out = context.out();
+        outbox = context.outbox();
         view = context.view();
         this.context = context;
         this.peers = peers;
@@ -89,7 +89,7 @@
                 owned[n].step();
                 if (owned[n].unreachable()) {
                     owned[n].release("most of its workers reach others, not this node");
-                    nextTakeMs = out.now.steadyMs() + Tuning.LEAVE_TO_OTHERS_MS;
+                    nextTakeMs = outbox.now.steadyMs() + Tuning.LEAVE_TO_OTHERS_MS;
                 }
                 if (owned[n].lost()) {
                     owned[n] = null;
@@ -100,7 +100,7 @@
         if (!view.loaded()
                 || taking
                 || view.ageMs() > Tuning.VIEW_STALE_MS
-                || out.now.steadyMs() < nextTakeMs) {
+                || outbox.now.steadyMs() < nextTakeMs) {
             return;
         }
         for (int i = 0; i < owned.length && !taking; i++) {
@@ -114,15 +114,15 @@
             if (owned[n] != null
                     || (record != null
                             && !ownTrace
-                            && !PartLease.free(settings, record.expiryMs(), out.now))) {
+                            && !PartLease.free(settings, record.expiryMs(), outbox.now))) {
                 freeSinceMs[n] = 0;
             } else if (freeSinceMs[n] == 0) {
-                freeSinceMs[n] = out.now.steadyMs();
+                freeSinceMs[n] = outbox.now.steadyMs();
             }
             // Who holds fewer comes first, so that parts spread out; then who is younger, since a
             // rolling restart comes back to that one last.
             if (freeSinceMs[n] > 0
-                    && out.now.steadyMs() - freeSinceMs[n]
+                    && outbox.now.steadyMs() - freeSinceMs[n]
                             >= peers.before(ownedCount()) * Tuning.TAKE_PAUSE_MS) {
                 take(n, record);
             }
@@ -131,10 +131,10 @@
 
     /** Gives a part up, if another node holds two less. */
     private void dealOut() {
-        if (out.now.steadyMs() < nextDealMs) {
+        if (outbox.now.steadyMs() < nextDealMs) {
             return;
         }
-        nextDealMs = out.now.steadyMs() + Tuning.DEAL_EVERY_MS;
+        nextDealMs = outbox.now.steadyMs() + Tuning.DEAL_EVERY_MS;
         if (!peers.anyWithTwoLess(ownedCount())) {
             return;
         }
@@ -184,19 +184,19 @@
             writes.put(StoreSchema.done(n, c + i), new FinishedRecord(pieces.get(i)).write());
         }
         taking =
-                out.renewal(
+                outbox.renewal(
                         new StateOp.Multi(guards, writes),
                         reply -> {
                             taking = false;
                             if (reply.status() == 200) {
                                 view.applied(reply, writes);
-                                nextTakeMs = out.now.steadyMs();
+                                nextTakeMs = outbox.now.steadyMs();
                             }
                         });
     }
 
     private void take(int n, PartRecord before) {
-        nextTakeMs = out.now.steadyMs() + Tuning.TAKE_PAUSE_MS;
+        nextTakeMs = outbox.now.steadyMs() + Tuning.TAKE_PAUSE_MS;
         boolean tooLong =
                 before != null
                         && FieldMap.jsonLength(before.write())
@@ -208,7 +208,7 @@
         }
         StoreView.Entry counter = view.get(StoreSchema.TERM);
         long term = 1 + (counter == null ? 0 : ((Number) counter.value().get("term")).longValue());
-        ClockReading sentAt = out.now;
+        ClockReading sentAt = outbox.now;
         PartRecord record =
                 new PartRecord(
                         owner,
@@ -223,7 +223,7 @@
         writes.put(StoreSchema.fence(n), Map.of("owner", owner, "term", term));
         writes.put(StoreSchema.TERM, Map.of("term", term));
         taking =
-                out.renewal(
+                outbox.renewal(
                         new StateOp.Multi(guards, writes),
                         reply -> {
                             taking = false;
@@ -236,10 +236,10 @@
                                                 context,
                                                 peers,
                                                 new PartOwnership(
-                                                        n, settings, out, view, record, sentAt,
+                                                        n, settings, outbox, view, record, sentAt,
                                                         revision));
-                                nextTakeMs = out.now.steadyMs();
-                                out.log(
+                                nextTakeMs = outbox.now.steadyMs();
+                                outbox.log(
                                         "takeover: part "
                                                 + n
                                                 + " term "
@@ -250,7 +250,7 @@
                             } else if (reply.status() == 409) {
                                 // Another took this part, or counted the term up for a different
                                 // one.
-                                nextTakeMs = out.now.steadyMs() + Tuning.TAKE_AGAIN_MS;
+                                nextTakeMs = outbox.now.steadyMs() + Tuning.TAKE_AGAIN_MS;
                             }
                         });
     }
--- a/src/main/java/org/shoreusher/core/PeerHints.java
+++ b/src/main/java/org/shoreusher/core/PeerHints.java
@@ -15,7 +15,7 @@
  */
 final class PeerHints implements Parts.Peers {
     private final Settings settings;
-    private final Outbox out;
+    private final Outbox outbox;
 
     /** This node's own parts; null for one that it does not own. */
     private final IntFunction<Part> ownParts;
@@ -32,9 +32,9 @@
     /** Workers that have come here from the part's owner, by part. */
     private final RedirectedWorkers[] redirected;
 
-    PeerHints(Settings settings, Outbox out, int parts, IntFunction<Part> ownParts) {
+    PeerHints(Settings settings, Outbox outbox, int parts, IntFunction<Part> ownParts) {
         this.settings = settings;
-        this.out = out;
+        this.outbox = outbox;
         this.ownParts = ownParts;
         redirected = new RedirectedWorkers[parts];
         Arrays.setAll(redirected, n -> new RedirectedWorkers());
@@ -43,7 +43,7 @@
     /** Notes the time of the first batch. */
     void started() {
         if (startedMs < 0) {
-            startedMs = out.now.steadyMs();
+            startedMs = outbox.now.steadyMs();
             // A former process on this host may have said anything up to its end.
             saidStateAwayMs = startedMs;
         }
@@ -52,7 +52,7 @@
     /** A hint has arrived. */
     void heard(Hint hint) {
         hints.put(hint.from(), hint);
-        hintedAt.put(hint.from(), out.now.steadyMs());
+        hintedAt.put(hint.from(), outbox.now.steadyMs());
     }
 
     /** Whether the state service has lately answered another node. */
@@ -62,7 +62,7 @@
 
     /** A worker of another owner has reported here; whether it should wait with another node. */
     boolean cameBackHere(int part, WorkerReport report, int machines) {
-        return redirected[part].came(report, machines, out.now.steadyMs());
+        return redirected[part].came(report, machines, outbox.now.steadyMs());
     }
 
     /** The part has another owner than before. */
@@ -94,7 +94,7 @@
                                 h != null
                                         && fresh(h)
                                         && !h.stateOk()
-                                        && out.now.wallMs() - h.sentWallMs()
+                                        && outbox.now.wallMs() - h.sentWallMs()
                                                 < Tuning.HINT_STALE_MS);
     }
 
@@ -118,7 +118,7 @@
     }
 
     private boolean fresh(Hint h) {
-        return out.now.steadyMs() - hintedAt.get(h.from()) < Tuning.HINT_STALE_MS;
+        return outbox.now.steadyMs() - hintedAt.get(h.from()) < Tuning.HINT_STALE_MS;
     }
 
     /**
@@ -126,11 +126,12 @@
      * its hints.
      */
     boolean suspect(PartRecord record) {
-        long leftMs = record.expiryMs() - out.now.wallMs();
+        long leftMs = record.expiryMs() - outbox.now.wallMs();
         Hint hint = hints.get(record.host());
         boolean quiet =
                 hint == null
-                        || out.now.steadyMs() - hintedAt.get(record.host()) > Tuning.QUIET_PEER_MS;
+                        || outbox.now.steadyMs() - hintedAt.get(record.host())
+                                > Tuning.QUIET_PEER_MS;
         return leftMs < 0
                 || (quiet
                         && leftMs
@@ -150,7 +151,7 @@
                         h ->
                                 h.stateOk()
                                         && !h.from().equals(owner)
-                                        && out.now.steadyMs() - hintedAt.get(h.from())
+                                        && outbox.now.steadyMs() - hintedAt.get(h.from())
                                                 < Tuning.QUIET_PEER_MS)
                 .map(Hint::from)
                 .sorted()
@@ -185,7 +186,7 @@
                                                         !hints.containsKey(m.host())
                                                                 || !fresh(hints.get(m.host())))
                                         .count();
-        double up = (out.now.steadyMs() - startedMs) / 1000.0;
+        double up = (outbox.now.steadyMs() - startedMs) / 1000.0;
         for (Hint h : hints.values()) {
             if (fresh(h)
                     && h.stateOk()
@@ -210,17 +211,17 @@
 
     /** Tells the others of this node when it is due; whether it was. */
     boolean tell() {
-        if (out.now.steadyMs() < nextHintMs) {
+        if (outbox.now.steadyMs() < nextHintMs) {
             return false;
         }
-        nextHintMs = out.now.steadyMs() + Tuning.HINT_MS;
+        nextHintMs = outbox.now.steadyMs() + Tuning.HINT_MS;
         HashMap<Integer, PartHint> held = new HashMap<>();
         HashMap<Integer, Integer> back = new HashMap<>();
         HashMap<String, Integer> running = new HashMap<>();
         HashMap<String, Integer> finished = new HashMap<>();
         for (int n = 0; n < redirected.length; n++) {
             Part part = ownParts.apply(n);
-            int workers = redirected[n].count(out.now.steadyMs());
+            int workers = redirected[n].count(outbox.now.steadyMs());
             if (workers > 0) {
                 back.put(n, workers);
             }
@@ -232,15 +233,15 @@
                 }
             }
         }
-        boolean stateOk = out.stateSilenceMs() < Tuning.READY_STATE_MS;
-        saidStateAwayMs = stateOk ? saidStateAwayMs : out.now.steadyMs();
-        out.add(
+        boolean stateOk = outbox.stateSilenceMs() < Tuning.READY_STATE_MS;
+        saidStateAwayMs = stateOk ? saidStateAwayMs : outbox.now.steadyMs();
+        outbox.add(
                 new Effect.Tell(
                         new Hint(
                                 settings.host(),
-                                out.now.wallMs(),
+                                outbox.now.wallMs(),
                                 stateOk,
-                                (out.now.steadyMs() - startedMs) / 1000.0,
+                                (outbox.now.steadyMs() - startedMs) / 1000.0,
                                 held,
                                 back,
                                 running,
--- a/src/main/java/org/shoreusher/core/Placement.java
+++ b/src/main/java/org/shoreusher/core/Placement.java
@@ -16,7 +16,7 @@
  */
 final class Placement {
     private final Part part;
-    private final Outbox out;
+    private final Outbox outbox;
     private final StartMarks marks;
     private final Object2ObjectOpenHashMap<Machine, List<Planner.Placed>> shares =
             new Object2ObjectOpenHashMap<>();
@@ -29,15 +29,15 @@
 
     private long nextMs = Long.MIN_VALUE;
 
-    Placement(Part part, Outbox out, StartMarks marks) {
+    Placement(Part part, Outbox outbox, StartMarks marks) {
         this.marks = marks;
         this.part = part;
-        this.out = out;
+        this.outbox = outbox;
     }
 
     /** What is to be started now on a machine that reports. */
     List<Planner.Placed> forMachine(Machine m) {
-        if (out.now.steadyMs() >= nextMs) {
+        if (outbox.now.steadyMs() >= nextMs) {
             plan();
         }
         List<Planner.Placed> share = shares.remove(m);
@@ -148,7 +148,7 @@
         }
         planner.placed().forEach(this::share);
         nextMs =
-                out.now.steadyMs()
+                outbox.now.steadyMs()
                         + (planner.steps() + part.machines().size() + jobs.size())
                                 / Tuning.PLAN_STEPS_PER_MS;
     }
--- a/src/main/java/org/shoreusher/core/Quota.java
+++ b/src/main/java/org/shoreusher/core/Quota.java
@@ -23,10 +23,10 @@
     /** A write that lowers this part's share, valid only upon one version of the record. */
     private record Give(long version, QuotaRecord record) {}
 
-    private final int n;
+    private final int partNumber;
     private final int parts;
     private final Settings settings;
-    private final Outbox out;
+    private final Outbox outbox;
     private final StoreView view;
     private final Map<String, Long> fence;
 
@@ -43,16 +43,16 @@
     private long nextMs;
 
     Quota(
-            int n,
+            int partNumber,
             int parts,
             Settings settings,
-            Outbox out,
+            Outbox outbox,
             StoreView view,
             Map<String, Long> fence) {
-        this.n = n;
+        this.partNumber = partNumber;
         this.parts = parts;
         this.settings = settings;
-        this.out = out;
+        this.outbox = outbox;
         this.view = view;
         this.fence = fence;
     }
@@ -68,8 +68,8 @@
         return stored == null
                 ? 0
                 : open == null
-                        ? stored.cpus()[n]
-                        : Math.min(stored.cpus()[n], open.record.cpus()[n]);
+                        ? stored.cpus()[partNumber]
+                        : Math.min(stored.cpus()[partNumber], open.record.cpus()[partNumber]);
     }
 
     double gpus(String team) {
@@ -82,8 +82,8 @@
         return stored == null
                 ? 0
                 : open == null
-                        ? stored.gpus()[n]
-                        : Math.min(stored.gpus()[n], open.record.gpus()[n]);
+                        ? stored.gpus()[partNumber]
+                        : Math.min(stored.gpus()[partNumber], open.record.gpus()[partNumber]);
     }
 
     /**
@@ -110,10 +110,10 @@
             Function<String, Double> used,
             Function<String, Claim[]> claims,
             Function<String, Double> quantum) {
-        if (parts == 1 || out.now.steadyMs() < nextMs) {
+        if (parts == 1 || outbox.now.steadyMs() < nextMs) {
             return;
         }
-        nextMs = out.now.steadyMs() + Tuning.QUOTA_EVERY_MS;
+        nextMs = outbox.now.steadyMs() + Tuning.QUOTA_EVERY_MS;
         create();
         for (Settings.Team team : settings.teams().values()) {
             if (!Double.isInfinite(team.cpusMax())
@@ -143,7 +143,7 @@
         }
         if (!writes.isEmpty() && !creating) {
             creating =
-                    out.state(
+                    outbox.state(
                             new StateOp.Multi(guards, writes),
                             reply -> {
                                 creating = false;
@@ -168,9 +168,12 @@
         }
         giving.remove(team.name());
         double[] targets = targets(team.cpusMax(), claims, stored.cpus(), quantum);
-        target.put(team.name(), targets[n]);
+        target.put(team.name(), targets[partNumber]);
         double spare =
-                Math.floor((stored.cpus()[n] - Math.max(used, targets[n])) / quantum) * quantum;
+                Math.floor(
+                                (stored.cpus()[partNumber] - Math.max(used, targets[partNumber]))
+                                        / quantum)
+                        * quantum;
         if (spare < quantum) {
             return;
         }
@@ -178,7 +181,7 @@
         double[] gpus = stored.gpus().clone();
         int to = -1;
         for (int m = 0; m < parts; m++) {
-            if (m != n
+            if (m != partNumber
                     && claims[m] != null
                     && targets[m] - cpus[m] >= quantum
                     && (to < 0 || targets[m] - cpus[m] > targets[to] - cpus[to])) {
@@ -189,11 +192,14 @@
             return;
         }
         double amount = Math.min(spare, targets[to] - cpus[to]);
-        cpus[n] -= amount;
+        cpus[partNumber] -= amount;
         cpus[to] += amount;
         // GPUs follow the CPUs in proportion; a team without any has none to give.
-        double moved = stored.cpus()[n] <= 0 ? 0 : Math.floor(gpus[n] * amount / stored.cpus()[n]);
-        gpus[n] -= moved;
+        double moved =
+                stored.cpus()[partNumber] <= 0
+                        ? 0
+                        : Math.floor(gpus[partNumber] * amount / stored.cpus()[partNumber]);
+        gpus[partNumber] -= moved;
         gpus[to] += moved;
         Give give =
                 new Give(view.version(StoreSchema.quota(team.name())), new QuotaRecord(cpus, gpus));
@@ -207,7 +213,7 @@
         Map<String, Map<String, Object>> writes =
                 Map.of(StoreSchema.quota(team), give.record.write());
         boolean sent =
-                out.state(
+                outbox.state(
                         new StateOp.Multi(guards, writes),
                         reply -> {
                             inFlight.remove(team);
@@ -226,12 +232,12 @@
      */
     static double[] targets(double max, Claim[] claims, double[] shares, double quantum) {
         int parts = shares.length;
-        double[] out = new double[parts];
+        double[] outbox = new double[parts];
         double left = max;
         // A part that says nothing keeps its share: nobody else may use it anyway.
         for (int m = 0; m < parts; m++) {
             if (claims[m] == null) {
-                out[m] = shares[m];
+                outbox[m] = shares[m];
                 left -= shares[m];
             }
         }
@@ -244,7 +250,7 @@
             for (int m = 0; m < parts; m++) {
                 if (claims[m] != null) {
                     double wanted = (level == 0 ? claims[m].urgent() : claims[m].other()) * ratio;
-                    out[m] += wanted;
+                    outbox[m] += wanted;
                 }
             }
             left -= sum * ratio;
@@ -252,9 +258,11 @@
         long told = Arrays.stream(claims).filter(c -> c != null).count();
         for (int m = 0; m < parts; m++) {
             if (claims[m] != null) {
-                out[m] = Math.floor((out[m] + Math.max(0, left) / told) / quantum + 0.5) * quantum;
+                outbox[m] =
+                        Math.floor((outbox[m] + Math.max(0, left) / told) / quantum + 0.5)
+                                * quantum;
             }
         }
-        return out;
+        return outbox;
     }
 }
--- a/src/main/java/org/shoreusher/core/Rebuild.java
+++ b/src/main/java/org/shoreusher/core/Rebuild.java
@@ -14,7 +14,7 @@
 final class Rebuild {
     private final Part part;
     private final Settings settings;
-    private final Outbox out;
+    private final Outbox outbox;
     private final StoreView view;
     private final Arrivals arrivals;
     private final MachineIndex index;
@@ -31,7 +31,7 @@
     Rebuild(Part part, NodeContext context, PartOwnership ownership, StartMarks marks) {
         this.part = part;
         settings = context.settings();
-        out = context.out();
+        outbox = context.outbox();
         view = context.view();
         arrivals = context.arrivals();
         index = context.index();
@@ -64,24 +64,24 @@
                 .forEach(
                         (key, entry) -> {
                             JobRecord record = JobRecord.read(entry.value());
-                            if (record.part() == part.n && record.status() == JobStatus.OPEN) {
+                            if (record.part() == part.number && record.status() == JobStatus.OPEN) {
                                 part.addJob(key.substring(StoreSchema.JOB.length()), record);
                             }
                         });
         arrivals.each(
                 (id, record) -> {
-                    if (record.part() == part.n) {
+                    if (record.part() == part.number) {
                         part.addJob(id, record);
                     }
                 });
         readDone(ownership.storedDone(0), 0);
-        for (int c = 1; view.get(StoreSchema.done(part.n, c)) != null; c++) {
+        for (int c = 1; view.get(StoreSchema.done(part.number, c)) != null; c++) {
             readDone(ownership.storedDone(c), c);
         }
         index.all()
                 .forEach(
                         (id, record) -> {
-                            if (record.part() == part.n) {
+                            if (record.part() == part.number) {
                                 Machine m = part.lifecycle().addMachine(id, record);
                                 if (m != null) {
                                     m.inherited = record.used();
@@ -138,9 +138,9 @@
             job.zonesUnknown = false;
             live += job.live.size();
         }
-        out.log(
+        outbox.log(
                 "rebuilt: part "
-                        + part.n
+                        + part.number
                         + " term "
                         + part.term()
                         + ", "
@@ -150,7 +150,7 @@
                         + " machines, "
                         + live
                         + " tasks on them, after "
-                        + (out.now.steadyMs() - ownership.takenAtMs())
+                        + (outbox.now.steadyMs() - ownership.takenAtMs())
                         + " ms");
     }
 }
--- a/src/main/java/org/shoreusher/core/Rentals.java
+++ b/src/main/java/org/shoreusher/core/Rentals.java
@@ -37,7 +37,7 @@
     }
 
     private final Part part;
-    private final Outbox out;
+    private final Outbox outbox;
     private final Fleet fleet;
     private final int atOnce;
     private final Object2LongOpenHashMap<Kind> refusedUntil = new Object2LongOpenHashMap<>();
@@ -52,16 +52,16 @@
 
     private long againMs;
 
-    Rentals(Part part, Settings settings, Outbox out, Fleet fleet) {
+    Rentals(Part part, Settings settings, Outbox outbox, Fleet fleet) {
         this.part = part;
-        this.out = out;
+        this.outbox = outbox;
         this.fleet = fleet;
         atOnce = Math.max(1, (int) (settings.cloudRps() * Tuning.RATE_USE));
     }
 
     /** Whether the cloud has lately had no machine of this kind. */
     boolean refused(Kind kind) {
-        return refusedUntil.getLong(kind) > out.now.steadyMs();
+        return refusedUntil.getLong(kind) > outbox.now.steadyMs();
     }
 
     /** How many more machines can be asked for just now. */
@@ -98,7 +98,12 @@
                         // again.
                         CloudOp.Rent rent =
                                 new CloudOp.Rent(
-                                        "part-" + part.n + "-" + part.term() + "-" + nextHire++,
+                                        "part-"
+                                                + part.number
+                                                + "-"
+                                                + part.term()
+                                                + "-"
+                                                + nextHire++,
                                         kind.type,
                                         kind.zone,
                                         kind.spot,
@@ -111,15 +116,15 @@
 
     /** Sends what is due. */
     void step() {
-        if (out.now.steadyMs() < againMs
+        if (outbox.now.steadyMs() < againMs
                 || (failing && pending.stream().anyMatch(p -> p.inFlight))) {
             return;
         }
         for (Pending p : pending) {
             if (!p.inFlight) {
-                p.askedWallMs = out.now.wallMs();
+                p.askedWallMs = outbox.now.wallMs();
                 p.inFlight =
-                        out.cloud(
+                        outbox.cloud(
                                 p.rent,
                                 reply -> {
                                     p.inFlight = false;
@@ -142,7 +147,7 @@
         failing = reply.status() != 200 && reply.status() != 400 && !capacity;
         if (failing) {
             // Without an answer it may have been carried out: only the same name is safe to repeat.
-            againMs = out.now.steadyMs() + Tuning.CLOUD_RETRY_MS;
+            againMs = outbox.now.steadyMs() + Tuning.CLOUD_RETRY_MS;
             return;
         }
         pending.remove(p);
@@ -152,9 +157,9 @@
         if (reply.status() == 200) {
             rented(rent, kind, reply, p.askedWallMs);
         } else if (capacity) {
-            refusedUntil.put(kind, out.now.steadyMs() + Tuning.NO_CAPACITY_MS);
+            refusedUntil.put(kind, outbox.now.steadyMs() + Tuning.NO_CAPACITY_MS);
         } else {
-            out.log(
+            outbox.log(
                     "cloud: refused the rental of "
                             + rent.type()
                             + " in "
@@ -166,7 +171,7 @@
     private void rented(CloudOp.Rent rent, Kind kind, CloudReply reply, long askedWallMs) {
         try {
             List<String> names = CloudFormat.rented(new FieldMap(reply.body()));
-            out.log(
+            outbox.log(
                     "rented: "
                             + names.size()
                             + " of "
@@ -177,15 +182,15 @@
                             + rent.zone()
                             + (rent.spot() ? ", spot" : ", ordinary")
                             + " for part "
-                            + part.n);
+                            + part.number);
             if (names.size() < rent.count()) {
-                refusedUntil.put(kind, out.now.steadyMs() + Tuning.NO_CAPACITY_MS);
+                refusedUntil.put(kind, outbox.now.steadyMs() + Tuning.NO_CAPACITY_MS);
             }
             for (String id : names) {
                 fleet.rented(id, rent, askedWallMs);
             }
         } catch (FieldMap.Missing e) {
-            out.log("cloud: rental not understood: " + e.getMessage());
+            outbox.log("cloud: rental not understood: " + e.getMessage());
         }
     }
 }
--- a/src/main/java/org/shoreusher/core/ReportReader.java
+++ b/src/main/java/org/shoreusher/core/ReportReader.java
@@ -10,14 +10,14 @@
 /** Takes over what a machine's newest report says of the machine and of the tasks on it. */
 final class ReportReader {
     private final Part part;
-    private final Outbox out;
+    private final Outbox outbox;
     private final Arrivals arrivals;
     private final ResourceLedger ledger;
 
     ReportReader(Part part, NodeContext context, ResourceLedger ledger) {
         this.part = part;
         this.ledger = ledger;
-        out = context.out();
+        outbox = context.outbox();
         arrivals = context.arrivals();
     }
 
@@ -27,7 +27,7 @@
         m.seq = r.seq();
         m.address = r.address();
         m.noticeS = r.noticeS();
-        m.reportedAtMs = out.now.steadyMs();
+        m.reportedAtMs = outbox.now.steadyMs();
         boolean found = m.inherited && !m.heard;
         m.heard = true;
         if (m.state == Machine.State.BOOTING) {
@@ -75,7 +75,7 @@
             }
         }
         m.idleSinceMs =
-                !m.tasks.isEmpty() ? -1 : m.idleSinceMs < 0 ? out.now.steadyMs() : m.idleSinceMs;
+                !m.tasks.isEmpty() ? -1 : m.idleSinceMs < 0 ? outbox.now.steadyMs() : m.idleSinceMs;
     }
 
     private void present(Machine m, String key, TaskReport t) {
@@ -99,7 +99,7 @@
                             t.attempt(),
                             m,
                             TaskAttempt.State.RUNNING,
-                            out.now.steadyMs());
+                            outbox.now.steadyMs());
             live.mustStop = !wanted;
             ledger.add(live, wanted);
         }
@@ -110,11 +110,11 @@
                     default -> TaskAttempt.State.RUNNING;
                 };
         if (live.state == TaskAttempt.State.RUNNING && live.runningSinceMs < 0) {
-            live.runningSinceMs = out.now.steadyMs();
+            live.runningSinceMs = outbox.now.steadyMs();
         }
         if (!live.job.spec.shape().ends()
                 && live.runningSinceMs >= 0
-                && out.now.steadyMs() - live.runningSinceMs >= Tuning.STEADY_MS) {
+                && outbox.now.steadyMs() - live.runningSinceMs >= Tuning.STEADY_MS) {
             live.job.steady();
         }
     }
@@ -146,7 +146,7 @@
                                 0,
                                 0,
                                 Double.NaN);
-        Job job = new Job(id, spec, out.now.wallMs());
+        Job job = new Job(id, spec, outbox.now.wallMs());
         job.closed = true;
         return job;
     }
@@ -167,7 +167,7 @@
         if (t.cause() == Cause.DONE) {
             m.failedJobs.clear();
             if (ours && job != null && live.runningSinceMs >= 0) {
-                double ranS = (out.now.steadyMs() - live.runningSinceMs) / 1000.0;
+                double ranS = (outbox.now.steadyMs() - live.runningSinceMs) / 1000.0;
                 if (job.observedCount() >= Tuning.PACE_TASKS
                         && job.observedMeanS() >= Tuning.PACE_LEAST_S) {
                     m.ran(ranS / job.observedMeanS());
@@ -192,14 +192,14 @@
             return;
         }
         if (t.cause() == Cause.ERROR && job != null) {
-            job.failed(m.id, out.now.steadyMs());
+            job.failed(m.id, outbox.now.steadyMs());
             if (job.suspect()) {
                 part.machines().values().forEach(other -> other.failedJobs.remove(job.id));
             } else {
                 m.failedJobs.add(job.id);
             }
         } else if (t.cause() == Cause.UNKNOWN && job != null) {
-            job.failed(m.id, out.now.steadyMs());
+            job.failed(m.id, outbox.now.steadyMs());
         }
         ledger.remove(live);
     }
@@ -211,10 +211,10 @@
     private void replicaEnded(Machine m, Job job, TaskAttempt live, Cause cause) {
         if (cause == Cause.ERROR || cause == Cause.DONE || cause == Cause.UNKNOWN) {
             if (live.runningSinceMs >= 0
-                    && out.now.steadyMs() - live.runningSinceMs >= Tuning.STEADY_MS) {
+                    && outbox.now.steadyMs() - live.runningSinceMs >= Tuning.STEADY_MS) {
                 job.steady();
             }
-            job.failed(m.id, out.now.steadyMs());
+            job.failed(m.id, outbox.now.steadyMs());
             if (cause == Cause.ERROR && !job.suspect()) {
                 m.failedJobs.add(job.id);
             } else if (job.suspect()) {
--- a/src/main/java/org/shoreusher/core/Reports.java
+++ b/src/main/java/org/shoreusher/core/Reports.java
@@ -21,7 +21,7 @@
 final class Reports {
     private final Part part;
     private final Settings settings;
-    private final Outbox out;
+    private final Outbox outbox;
     private final Arrivals arrivals;
     private final MachineIndex index;
     private final MachineTypes types;
@@ -33,13 +33,13 @@
     Reports(Part part, NodeContext context, ResourceLedger ledger, StartMarks marks) {
         this.part = part;
         settings = context.settings();
-        out = context.out();
+        outbox = context.outbox();
         arrivals = context.arrivals();
         index = context.index();
         types = context.types();
         this.ledger = ledger;
         reader = new ReportReader(part, context, ledger);
-        placement = new Placement(part, out, marks);
+        placement = new Placement(part, outbox, marks);
     }
 
     /** Answers a report of a machine that belongs to this part, or to none yet. */
@@ -48,7 +48,7 @@
             if (!part.lost() && r.token() > part.term()) {
                 part.ownership().raise(r.token());
             }
-            out.answerUnavailable(request);
+            outbox.answerUnavailable(request);
             return;
         }
         Machine m = part.machines().get(r.machine());
@@ -63,8 +63,8 @@
                 && !m.heard
                 && r.token() < part.ownership().takenTerm()
                 && !deafSinceTakeover(m, r)) {
-            m.answeredAtMs = Math.max(m.answeredAtMs, out.now.steadyMs());
-            out.answer(request, new Response.Orders(part.term(), stopsOfCancelled(r)));
+            m.answeredAtMs = Math.max(m.answeredAtMs, outbox.now.steadyMs());
+            outbox.answer(request, new Response.Orders(part.term(), stopsOfCancelled(r)));
             return;
         }
         // A late report's sender has given up on it, and of a copy nobody waits for the answer; the
@@ -74,10 +74,10 @@
                 || m.state == Machine.State.HANDING
                 || r.session() <= m.endedSession
                 || (m.heard && !r.newerThan(m.session, m.seq))) {
-            out.answerUnavailable(request);
+            outbox.answerUnavailable(request);
             return;
         }
-        m.reported(r, out.now.steadyMs(), settings);
+        m.reported(r, outbox.now.steadyMs(), settings);
         reader.read(m, r);
         List<WorkerOrder> orders = new ArrayList<>();
         if (part.holds()) {
@@ -93,9 +93,9 @@
         } else {
             orders.addAll(stopsOfCancelled(r));
         }
-        m.repliedAtMs = out.now.steadyMs();
-        m.answeredAtMs = out.now.steadyMs();
-        out.answer(request, new Response.Orders(part.term(), orders));
+        m.repliedAtMs = outbox.now.steadyMs();
+        m.answeredAtMs = outbox.now.steadyMs();
+        outbox.answer(request, new Response.Orders(part.term(), orders));
     }
 
     /**
@@ -111,7 +111,7 @@
             m.seq = r.seq();
         }
         return newer
-                && out.now.steadyMs() > m.inheritedAnswerMs + PartLease.workerLeaseMs(settings);
+                && outbox.now.steadyMs() > m.inheritedAnswerMs + PartLease.workerLeaseMs(settings);
     }
 
     private Machine adopt(WorkerReport r) {
@@ -122,7 +122,7 @@
         }
         MachineRecord record = index.get(r.machine());
         if (record != null) {
-            return record.part() == part.n
+            return record.part() == part.number
                     ? part.lifecycle().addMachine(r.machine(), record)
                     : null;
         }
@@ -132,7 +132,7 @@
             return null;
         }
         return part.lifecycle()
-                .add(r.machine(), types.get(r.type()), r.zone(), r.spot(), out.now.wallMs());
+                .add(r.machine(), types.get(r.type()), r.zone(), r.spot(), outbox.now.wallMs());
     }
 
     /**
@@ -218,7 +218,7 @@
                         part.term() << Tuning.ATTEMPT_BITS | nextAttempt++,
                         m,
                         TaskAttempt.State.ASKED,
-                        out.now.steadyMs());
+                        outbox.now.steadyMs());
         ledger.add(live, true);
         job.startedCount++;
         orders.add(new WorkerOrder(WorkerOrder.Kind.START, job.id, index, live.attempt, 0));
--- a/src/main/java/org/shoreusher/core/Retirement.java
+++ b/src/main/java/org/shoreusher/core/Retirement.java
@@ -9,12 +9,12 @@
 final class Retirement {
     private final Part part;
     private final Settings settings;
-    private final Outbox out;
+    private final Outbox outbox;
 
-    Retirement(Part part, Settings settings, Outbox out) {
+    Retirement(Part part, Settings settings, Outbox outbox) {
         this.part = part;
         this.settings = settings;
-        this.out = out;
+        this.outbox = outbox;
     }
 
     /** Looks at all machines of the part. */
@@ -23,7 +23,7 @@
         for (Machine m : part.machines().values()) {
             String fault = fault(m, deafAreFaulty);
             if (fault != null) {
-                out.log("retired: " + m.id + fault);
+                outbox.log("retired: " + m.id + fault);
                 m.state = Machine.State.DRAINING;
             } else if (m.state == Machine.State.UP
                     && !Double.isNaN(m.noticeS)
@@ -61,7 +61,7 @@
     }
 
     private long ageMs(Machine m) {
-        return out.now.wallMs() - m.rentedWallMs;
+        return outbox.now.wallMs() - m.rentedWallMs;
     }
 
     /**
@@ -74,7 +74,7 @@
     }
 
     private long silenceMs(Machine m) {
-        return out.now.steadyMs() - m.answeredAtMs;
+        return outbox.now.steadyMs() - m.answeredAtMs;
     }
 
     private boolean silent(Machine m) {
--- a/src/main/java/org/shoreusher/core/Returns.java
+++ b/src/main/java/org/shoreusher/core/Returns.java
@@ -8,18 +8,18 @@
 /** Returns a part's empty machines that are to go to the cloud. */
 final class Returns {
     private final Part part;
-    private final Outbox out;
+    private final Outbox outbox;
     private boolean returning;
     private long nextReturnMs;
 
-    Returns(Part part, Outbox out) {
+    Returns(Part part, Outbox outbox) {
         this.part = part;
-        this.out = out;
+        this.outbox = outbox;
     }
 
     /** Asks for the next return when it is due. */
     void step() {
-        if (returning || out.now.steadyMs() < nextReturnMs) {
+        if (returning || outbox.now.steadyMs() < nextReturnMs) {
             return;
         }
         List<String> ids = new ArrayList<>();
@@ -36,12 +36,12 @@
             return;
         }
         returning =
-                out.cloud(
+                outbox.cloud(
                         new CloudOp.Return(List.copyOf(ids)),
                         reply -> {
                             returning = false;
                             if (reply.status() != 200) {
-                                nextReturnMs = out.now.steadyMs() + Tuning.CLOUD_RETRY_MS;
+                                nextReturnMs = outbox.now.steadyMs() + Tuning.CLOUD_RETRY_MS;
                                 ids.forEach(
                                         id -> stillThere(part.machines().get(id), reply.status()));
                                 return;
--- a/src/main/java/org/shoreusher/core/StartMarks.java
+++ b/src/main/java/org/shoreusher/core/StartMarks.java
@@ -32,10 +32,10 @@
      */
     private record Marked(Job job, int chunk, int below) {}
 
-    private final int n;
+    private final int partNumber;
     private final int parts;
     private final Settings settings;
-    private final Outbox out;
+    private final Outbox outbox;
     private final StoreView view;
     private final Arrivals arrivals;
     private final PartOwnership ownership;
@@ -46,11 +46,15 @@
     private long nextMs;
 
     StartMarks(
-            int n, int parts, NodeContext context, PartOwnership ownership, Map<String, Job> jobs) {
-        this.n = n;
+            int partNumber,
+            int parts,
+            NodeContext context,
+            PartOwnership ownership,
+            Map<String, Job> jobs) {
+        this.partNumber = partNumber;
         this.parts = parts;
         settings = context.settings();
-        out = context.out();
+        outbox = context.outbox();
         view = context.view();
         arrivals = context.arrivals();
         this.ownership = ownership;
@@ -60,7 +64,7 @@
 
     /** Takes over what owners before have noted. */
     void load() {
-        for (int c = 0; view.get(StoreSchema.begun(n, c)) != null; c++) {
+        for (int c = 0; view.get(StoreSchema.begun(partNumber, c)) != null; c++) {
             int chunk = c;
             stored(c)
                     .forEach(
@@ -86,7 +90,7 @@
      * others again.
      */
     void write() {
-        if (writing || wanted.isEmpty() || !ownership.holds() || out.now.steadyMs() < nextMs) {
+        if (writing || wanted.isEmpty() || !ownership.holds() || outbox.now.steadyMs() < nextMs) {
             return;
         }
         Map<String, Long> guards = new LinkedHashMap<>(ownership.fence());
@@ -119,11 +123,13 @@
         }
         chunks.forEach(
                 (c, marks) -> {
-                    guards.put(StoreSchema.begun(n, c), view.version(StoreSchema.begun(n, c)));
-                    writes.put(StoreSchema.begun(n, c), MarkRecord.write(marks));
+                    guards.put(
+                            StoreSchema.begun(partNumber, c),
+                            view.version(StoreSchema.begun(partNumber, c)));
+                    writes.put(StoreSchema.begun(partNumber, c), MarkRecord.write(marks));
                 });
         writing =
-                out.state(
+                outbox.state(
                         new StateOp.Multi(guards, writes),
                         reply -> {
                             writing = false;
@@ -132,7 +138,7 @@
                                 marked.forEach(StartMarks::written);
                             }
                         });
-        nextMs = writing ? out.now.steadyMs() + gapMs : nextMs;
+        nextMs = writing ? outbox.now.steadyMs() + gapMs : nextMs;
     }
 
     /** Puts the next mark of a job into a record that is about to be written. */
@@ -162,7 +168,7 @@
     }
 
     private Map<String, Integer> stored(int chunk) {
-        StoreView.Entry entry = view.get(StoreSchema.begun(n, chunk));
+        StoreView.Entry entry = view.get(StoreSchema.begun(partNumber, chunk));
         return entry == null ? Map.of() : MarkRecord.read(entry.value()).below();
     }
 
--- a/src/main/java/org/shoreusher/core/StoreView.java
+++ b/src/main/java/org/shoreusher/core/StoreView.java
@@ -25,7 +25,7 @@
         void changed(String key, Entry before, Entry after);
     }
 
-    private final Outbox out;
+    private final Outbox outbox;
     private final Listener listener;
     private final long watchGapMs;
     private final TreeMap<String, Entry> entries = new TreeMap<>();
@@ -44,14 +44,14 @@
     private long freshAt = Long.MIN_VALUE / 2;
     private long nextAt;
 
-    StoreView(Outbox out, Settings settings, Listener listener) {
+    StoreView(Outbox outbox, Settings settings, Listener listener) {
         // A change wakes the watches of all nodes: where requests are few they would leave none for
         // anything else.
         double share = settings.stateRps() * Tuning.RATE_USE / settings.nodes();
         watchGapMs =
                 Math.max(
                         Tuning.WATCH_GAP_MS, (long) Math.ceil(1000 / (share * Tuning.WATCH_SHARE)));
-        this.out = out;
+        this.outbox = outbox;
         this.listener = listener;
     }
 
@@ -67,7 +67,7 @@
 
     /** ms since a moment at which the view was complete. */
     long ageMs() {
-        return out.now.steadyMs() - freshAt;
+        return outbox.now.steadyMs() - freshAt;
     }
 
     Entry get(String key) {
@@ -142,10 +142,10 @@
 
     /** Issues the next page or watch when it is due. */
     void step() {
-        if (busy || out.now.steadyMs() < nextAt) {
+        if (busy || outbox.now.steadyMs() < nextAt) {
             return;
         }
-        long sentAt = out.now.steadyMs();
+        long sentAt = outbox.now.steadyMs();
         StateOp op =
                 loading
                         ? new StateOp.Page(page)
@@ -153,14 +153,14 @@
                                 revision,
                                 loaded && revision >= needRevision ? Tuning.WATCH_BLOCK_MS : 0);
         busy =
-                out.state(
+                outbox.state(
                         op,
                         reply -> {
                             busy = false;
                             try {
                                 replied(reply, sentAt);
                             } catch (FieldMap.Missing e) {
-                                out.log("state: answer not understood: " + e.getMessage());
+                                outbox.log("state: answer not understood: " + e.getMessage());
                                 retry();
                             }
                         });
@@ -195,7 +195,7 @@
             freshAt = sentAt;
             loaded = true;
         }
-        nextAt = out.now.steadyMs() + watchGapMs;
+        nextAt = outbox.now.steadyMs() + watchGapMs;
     }
 
     private void paged(FieldMap body) throws FieldMap.Missing {
@@ -233,6 +233,6 @@
     }
 
     private void retry() {
-        nextAt = out.now.steadyMs() + Tuning.STATE_RETRY_MS;
+        nextAt = outbox.now.steadyMs() + Tuning.STATE_RETRY_MS;
     }
 }
--- a/src/main/java/org/shoreusher/core/TaskStops.java
+++ b/src/main/java/org/shoreusher/core/TaskStops.java
@@ -6,12 +6,12 @@
 /** Decides which tasks of a part give way to others, and stops tasks by direct commands. */
 final class TaskStops {
     private final Part part;
-    private final Outbox out;
+    private final Outbox outbox;
     private long nextPreemptMs;
 
-    TaskStops(Part part, Outbox out) {
+    TaskStops(Part part, Outbox outbox) {
         this.part = part;
-        this.out = out;
+        this.outbox = outbox;
     }
 
     /**
@@ -26,7 +26,7 @@
         }
         List<Job> services = part.ordered();
         services.removeIf(job -> job.spec.shape().ends());
-        for (TaskAttempt live : new ReplicaPreemption(part, out.now).choose(services)) {
+        for (TaskAttempt live : new ReplicaPreemption(part, outbox.now).choose(services)) {
             live.mustStop = true;
             halt(live, 0);
         }
@@ -36,16 +36,16 @@
     void preempt() {
         // Until all machines are heard it is what they may hold that binds, and no task that is
         // stopped makes room for that.
-        if (out.now.steadyMs() < nextPreemptMs || !part.rebuilt() || !part.mayStart()) {
+        if (outbox.now.steadyMs() < nextPreemptMs || !part.rebuilt() || !part.mayStart()) {
             return;
         }
-        nextPreemptMs = out.now.steadyMs() + Tuning.PREEMPT_EVERY_MS;
+        nextPreemptMs = outbox.now.steadyMs() + Tuning.PREEMPT_EVERY_MS;
         List<Job> ordered = part.ordered();
         if (ordered.isEmpty()) {
             return;
         }
         for (TaskAttempt live :
-                new Preemption(part, part.urgency(), out.now).choose(ordered, part.planner())) {
+                new Preemption(part, part.urgency(), outbox.now).choose(ordered, part.planner())) {
             live.stopping = true;
             halt(live, graceS(live));
         }
@@ -69,10 +69,10 @@
         if (part.holds()
                 && m.address != null
                 && m.heard
-                && out.now.steadyMs() - m.reportedAtMs < part.quietMs()
-                && out.now.steadyMs() - live.haltedAtMs > Tuning.HALT_AGAIN_MS) {
-            live.haltedAtMs = out.now.steadyMs();
-            out.add(
+                && outbox.now.steadyMs() - m.reportedAtMs < part.quietMs()
+                && outbox.now.steadyMs() - live.haltedAtMs > Tuning.HALT_AGAIN_MS) {
+            live.haltedAtMs = outbox.now.steadyMs();
+            outbox.add(
                     new Effect.Orders(
                             m.address, part.term(), m.session, List.of(stop(live, graceS))));
         }
--- a/src/main/java/org/shoreusher/core/UserRequests.java
+++ b/src/main/java/org/shoreusher/core/UserRequests.java
@@ -28,7 +28,7 @@
     }
 
     private final Settings settings;
-    private final Outbox out;
+    private final Outbox outbox;
     private final StoreView view;
     private final MachineTypes types;
     private final MemberFormats formats;
@@ -48,23 +48,23 @@
             CountSource counts,
             ToIntFunction<JobSpec> roomiestPart) {
         settings = context.settings();
-        out = context.out();
+        outbox = context.outbox();
         view = context.view();
         types = context.types();
         formats = context.formats();
         this.counts = counts;
         arrivals = context.arrivals();
-        ended = new EndedJobs(settings, out, view);
-        reads = new ConfirmedReads(settings, out, view, arrivals, ended, this::refuse);
+        ended = new EndedJobs(settings, outbox, view);
+        reads = new ConfirmedReads(settings, outbox, view, arrivals, ended, this::refuse);
         acceptance =
                 new Acceptance(
                         settings,
-                        out,
+                        outbox,
                         view,
                         owner,
                         roomiestPart,
                         (request, id) ->
-                                answerIfKnown(request, id, () -> out.answerUnavailable(request)),
+                                answerIfKnown(request, id, () -> outbox.answerUnavailable(request)),
                         (request, id) -> answerIfKnown(request, id, () -> refuseLong(request)));
     }
 
@@ -72,7 +72,7 @@
 
     void poll(long request, String id) {
         if (!JobSpec.isId(id)) {
-            out.answer(request, new Response.NotFound());
+            outbox.answer(request, new Response.NotFound());
             return;
         }
         reads.ask(
@@ -80,9 +80,9 @@
                 id,
                 record -> {
                     if (record == null) {
-                        out.answer(request, new Response.NotFound());
+                        outbox.answer(request, new Response.NotFound());
                     } else {
-                        out.answer(request, polled(id, record));
+                        outbox.answer(request, polled(id, record));
                     }
                 });
     }
@@ -102,7 +102,7 @@
 
     void submit(long request, String id, JobSpec spec, String problem) {
         if (!JobSpec.isId(id)) {
-            out.answer(request, new Response.Malformed(problem == null ? NO_ID : problem));
+            outbox.answer(request, new Response.Malformed(problem == null ? NO_ID : problem));
             return;
         }
         // A known job is answered with its state before anything in the body is judged.
@@ -121,12 +121,13 @@
                     if (record != null) {
                         known(request, id, record);
                     } else if (spec == null) {
-                        out.answer(request, new Response.Malformed(problem));
+                        outbox.answer(request, new Response.Malformed(problem));
                     } else {
                         switch (verdict(spec)) {
                             case RUNS -> accept(request, spec);
-                            case NEVER -> out.answer(request, new Response.CannotRun(NEVER_RUNS));
-                            case UNKNOWN -> out.answerUnavailable(request);
+                            case NEVER ->
+                                    outbox.answer(request, new Response.CannotRun(NEVER_RUNS));
+                            case UNKNOWN -> outbox.answerUnavailable(request);
                         }
                     }
                 });
@@ -151,11 +152,11 @@
      * whatever its description's length, also to a node whose view lags.
      */
     private void refuseLong(long request) {
-        out.answer(request, new Response.Malformed(TOO_LONG));
+        outbox.answer(request, new Response.Malformed(TOO_LONG));
     }
 
     private void known(long request, String id, JobRecord record) {
-        out.answer(
+        outbox.answer(
                 request,
                 new Response.JobState(
                         id,
@@ -199,7 +200,7 @@
 
     void cancel(long request, String id) {
         if (!JobSpec.isId(id)) {
-            out.answer(request, new Response.NotFound());
+            outbox.answer(request, new Response.NotFound());
             return;
         }
         reads.ask(request, id, record -> cancel(request, id, record, Tuning.WRITE_TRIES));
@@ -207,11 +208,11 @@
 
     private void cancel(long request, String id, JobRecord record, int tries) {
         if (record == null) {
-            out.answer(request, new Response.NotFound());
+            outbox.answer(request, new Response.NotFound());
         } else if (record.status() == JobStatus.DONE) {
-            out.answer(request, new Response.JobState(id, Shown.DONE));
+            outbox.answer(request, new Response.JobState(id, Shown.DONE));
         } else if (record.status() == JobStatus.CANCELLED) {
-            out.answer(request, new Response.JobState(id, Shown.CANCELLED));
+            outbox.answer(request, new Response.JobState(id, Shown.CANCELLED));
         } else {
             Map<String, Map<String, Object>> writes =
                     Map.of(StoreSchema.job(id), record.cancelled(settings.valueBytes()).write());
@@ -222,11 +223,11 @@
                     Tuning.WRITE_TRIES,
                     reply -> {
                         if (reply.status() == 200) {
-                            out.answer(request, new Response.JobState(id, Shown.CANCELLED));
+                            outbox.answer(request, new Response.JobState(id, Shown.CANCELLED));
                         } else if (tries > 1) {
                             reads.read(request, id, now -> cancel(request, id, now, tries - 1));
                         } else {
-                            out.answerUnavailable(request);
+                            outbox.answerUnavailable(request);
                         }
                     });
         }
@@ -239,7 +240,7 @@
         }
         writing++;
         boolean sent =
-                out.stateForUser(
+                outbox.stateForUser(
                         op,
                         reply -> {
                             writing--;
@@ -251,12 +252,12 @@
                             } else if (reply.status() == 429 && tries > 1) {
                                 write(request, op, tries - 1, then);
                             } else {
-                                out.answerUnavailable(request);
+                                outbox.answerUnavailable(request);
                             }
                         });
         if (!sent) {
             writing--;
-            out.answerUnavailable(request);
+            outbox.answerUnavailable(request);
         }
     }
 
@@ -275,9 +276,9 @@
 
     private boolean refuse(long request) {
         if (!view.loaded()
-                || out.stateAway()
+                || outbox.stateAway()
                 || writing + reads.waiting() >= Tuning.MAX_USER_WORK) {
-            out.answerUnavailable(request);
+            outbox.answerUnavailable(request);
             return true;
         }
         return false;
--- a/src/test/java/org/shoreusher/balance/LoadModelTest.java
+++ b/src/test/java/org/shoreusher/balance/LoadModelTest.java
@@ -87,7 +87,6 @@
         load.taskAdded("nowhere", "t", 4, "image");
         load.taskRemoved("nowhere", "t", 4);
         load.machineGone("nowhere");
-        load.reported("nowhere", 5);
         load.machine("m", "a", 8, 1);
         load.taskRemoved("m", "t", 4);
         assertEquals(0, load.cpus("t"));
--- a/src/test/java/org/shoreusher/core/ArrivalsTest.java
+++ b/src/test/java/org/shoreusher/core/ArrivalsTest.java
@@ -33,19 +33,19 @@
                         .estimateS(1)
                         .build();
         for (boolean ended : new boolean[] {false, true}) {
-            Outbox out = new Outbox(SETTINGS, 1);
+            Outbox outbox = new Outbox(SETTINGS, 1);
             Arrivals[] arrivals = new Arrivals[1];
             List<String> told = new ArrayList<>();
             StoreView view =
                     new StoreView(
-                            out,
+                            outbox,
                             SETTINGS,
                             (key, before, after) -> {
                                 if (key.startsWith(StoreSchema.ARRIVED)) {
                                     arrivals[0].changed(key, after, (id, record) -> told.add(id));
                                 }
                             });
-            arrivals[0] = new Arrivals(SETTINGS, out, view);
+            arrivals[0] = new Arrivals(SETTINGS, outbox, view);
             if (ended) {
                 view.apply(
                         StoreSchema.job("wk-1"),
--- a/src/test/java/org/shoreusher/core/OwnerPiecesTest.java
+++ b/src/test/java/org/shoreusher/core/OwnerPiecesTest.java
@@ -27,8 +27,8 @@
     // ---- the view ------------------------------------------------------------------------------
 
     /** Reads what the view asks for, and answers it. */
-    private static StateOp asked(Outbox out) {
-        return out.drain().stream()
+    private static StateOp asked(Outbox outbox) {
+        return outbox.drain().stream()
                 .filter(e -> e instanceof Effect.StateCall)
                 .map(e -> ((Effect.StateCall) e).op())
                 .findFirst()
@@ -41,23 +41,23 @@
      */
     @Example
     void oldNewsDoesNotBringADoneJobBack() {
-        Outbox out = new Outbox(OrderTestData.settings(List.of()), 1);
+        Outbox outbox = new Outbox(OrderTestData.settings(List.of()), 1);
         List<String> seen = new ArrayList<>();
         StoreView view =
                 new StoreView(
-                        out,
+                        outbox,
                         OrderTestData.settings(List.of()),
                         (key, before, after) -> seen.add(key));
-        out.now = new ClockReading(1_000, 1_000);
+        outbox.now = new ClockReading(1_000, 1_000);
         view.step();
-        assertTrue(asked(out) instanceof StateOp.Page);
-        out.replied(
+        assertTrue(asked(outbox) instanceof StateOp.Page);
+        outbox.replied(
                 new StateReply(1, 200, Map.of("entries", List.of(), "more", false, "ledger", 5L)));
         view.apply("job/wk-1", Map.of("status", "DONE"), 9);
         view.evict("job/wk-1");
         view.step();
-        assertEquals(new StateOp.Watch(5, 0), asked(out));
-        out.replied(
+        assertEquals(new StateOp.Watch(5, 0), asked(outbox));
+        outbox.replied(
                 new StateReply(
                         2,
                         200,
@@ -84,26 +84,27 @@
      */
     @Example
     void aViewWhoseWatchKeepsFailingIsReadInPages() {
-        Outbox out = new Outbox(OrderTestData.settings(List.of()), 1);
+        Outbox outbox = new Outbox(OrderTestData.settings(List.of()), 1);
         StoreView view =
-                new StoreView(out, OrderTestData.settings(List.of()), (key, before, after) -> {});
-        out.now = new ClockReading(1_000, 1_000);
+                new StoreView(
+                        outbox, OrderTestData.settings(List.of()), (key, before, after) -> {});
+        outbox.now = new ClockReading(1_000, 1_000);
         view.step();
-        asked(out);
-        out.replied(
+        asked(outbox);
+        outbox.replied(
                 new StateReply(1, 200, Map.of("entries", List.of(), "more", false, "ledger", 5L)));
         view.step();
-        asked(out);
-        out.replied(new StateReply(2, 200, Map.of("ledger", 5L, "log", List.of())));
+        asked(outbox);
+        outbox.replied(new StateReply(2, 200, Map.of("ledger", 5L, "log", List.of())));
         StateOp last = null;
         for (int call = 3; call < 100 && !(last instanceof StateOp.Page); call++) {
-            out.now = new ClockReading(out.now.steadyMs() + 500, out.now.wallMs() + 500);
+            outbox.now = new ClockReading(outbox.now.steadyMs() + 500, outbox.now.wallMs() + 500);
             view.step();
-            last = asked(out);
+            last = asked(outbox);
             assertTrue(
-                    last instanceof StateOp.Page == out.now.steadyMs() > 21_000 + 500,
-                    "at " + out.now.steadyMs() + " asked for " + last);
-            out.replied(new StateReply(call, 0, null));
+                    last instanceof StateOp.Page == outbox.now.steadyMs() > 21_000 + 500,
+                    "at " + outbox.now.steadyMs() + " asked for " + last);
+            outbox.replied(new StateReply(call, 0, null));
         }
         assertTrue(last instanceof StateOp.Page);
     }
@@ -164,12 +165,12 @@
         JobSpec spec =
                 OrderTestData.job("wk-1", "c", JobSpec.Priority.HIGH, 3, 1, Double.NaN, 0).spec;
         for (boolean olderFirst : new boolean[] {true, false}) {
-            Outbox out = new Outbox(s, 2);
+            Outbox outbox = new Outbox(s, 2);
             Arrivals[] arrivals = new Arrivals[1];
             List<Integer> told = new ArrayList<>();
             StoreView view =
                     new StoreView(
-                            out,
+                            outbox,
                             s,
                             (key, before, after) -> {
                                 if (key.startsWith(StoreSchema.ARRIVED)) {
@@ -177,7 +178,7 @@
                                             key, after, (id, record) -> told.add(record.part()));
                                 }
                             });
-            arrivals[0] = new Arrivals(s, out, view);
+            arrivals[0] = new Arrivals(s, outbox, view);
             for (int part : olderFirst ? new int[] {1, 0} : new int[] {0, 1}) {
                 view.apply(
                         StoreSchema.arrived("n/" + part, 1),
@@ -202,18 +203,18 @@
             @ForAll @LongRange(min = 0) long seed) {
         Random random = new Random(seed);
         Settings s = OrderTestData.settings(List.of());
-        Outbox out = new Outbox(s, 1);
-        out.now = new ClockReading(1_000, 1_000);
-        StoreView view = new StoreView(out, s, (key, before, after) -> {});
-        Arrivals arrivals = new Arrivals(s, out, view);
+        Outbox outbox = new Outbox(s, 1);
+        outbox.now = new ClockReading(1_000, 1_000);
+        StoreView view = new StoreView(outbox, s, (key, before, after) -> {});
+        Arrivals arrivals = new Arrivals(s, outbox, view);
         PartOwnership ownership =
                 new PartOwnership(
                         0,
                         s,
-                        out,
+                        outbox,
                         view,
                         new StoreSchema.PartRecord("n/1", 60_000, 1, Map.of()),
-                        out.now,
+                        outbox.now,
                         1);
         Map<String, Job> jobs = new java.util.LinkedHashMap<>();
         for (int i = 0; i < count; i++) {
@@ -234,7 +235,7 @@
                 new StartMarks(
                         0,
                         1,
-                        new NodeContext(s, Features.NONE, out, view, arrivals, null, null, null),
+                        new NodeContext(s, Features.NONE, outbox, view, arrivals, null, null, null),
                         ownership,
                         jobs);
         long revision = 1;
@@ -242,9 +243,9 @@
                 round < 200 && jobs.values().stream().anyMatch(j -> j.startBelow == 0);
                 round++) {
             jobs.values().forEach(j -> marks.want(j, j.startBelow == 0 ? 1 : 0));
-            out.now = new ClockReading(out.now.steadyMs() + 300, out.now.wallMs() + 10);
+            outbox.now = new ClockReading(outbox.now.steadyMs() + 300, outbox.now.wallMs() + 10);
             marks.write();
-            for (Effect e : out.drain()) {
+            for (Effect e : outbox.drain()) {
                 Effect.StateCall call = (Effect.StateCall) e;
                 ((StateOp.Multi) call.op())
                         .writes()
@@ -254,7 +255,7 @@
                                                 org.shoreusher.wire.FieldMap.jsonLength(value)
                                                         <= s.valueBytes(),
                                                 key));
-                out.replied(new StateReply(call.call(), 200, Map.of("ledger", ++revision)));
+                outbox.replied(new StateReply(call.call(), 200, Map.of("ledger", ++revision)));
             }
         }
         Map<String, Job> taken = new java.util.LinkedHashMap<>();
@@ -262,7 +263,7 @@
         new StartMarks(
                         0,
                         1,
-                        new NodeContext(s, Features.NONE, out, view, arrivals, null, null, null),
+                        new NodeContext(s, Features.NONE, outbox, view, arrivals, null, null, null),
                         ownership,
                         taken)
                 .load();
--- a/src/test/java/org/shoreusher/core/StartMarksTest.java
+++ b/src/test/java/org/shoreusher/core/StartMarksTest.java
@@ -34,17 +34,17 @@
             @ForAll @IntRange(min = 1, max = 300) int count,
             @ForAll @LongRange(min = 0) long seed) {
         Random random = new Random(seed);
-        Outbox out = new Outbox(SETTINGS, 1);
-        out.now = new ClockReading(1_000, 1_000);
-        StoreView view = new StoreView(out, SETTINGS, (key, before, after) -> {});
+        Outbox outbox = new Outbox(SETTINGS, 1);
+        outbox.now = new ClockReading(1_000, 1_000);
+        StoreView view = new StoreView(outbox, SETTINGS, (key, before, after) -> {});
         PartOwnership ownership =
                 new PartOwnership(
                         0,
                         SETTINGS,
-                        out,
+                        outbox,
                         view,
                         new StoreSchema.PartRecord("n/1", 60_000, 1, Map.of()),
-                        out.now,
+                        outbox.now,
                         1);
         Map<String, Job> jobs = new LinkedHashMap<>();
         for (int i = 0; i < count; i++) {
@@ -68,9 +68,9 @@
                         new NodeContext(
                                 SETTINGS,
                                 Features.NONE,
-                                out,
+                                outbox,
                                 view,
-                                new Arrivals(SETTINGS, out, view),
+                                new Arrivals(SETTINGS, outbox, view),
                                 null,
                                 null,
                                 null),
@@ -83,9 +83,9 @@
             jobs.values().stream()
                     .filter(j -> j.startBelow == 0 && random.nextInt(3) == 0)
                     .forEach(j -> marks.want(j, 1));
-            out.now = new ClockReading(out.now.steadyMs() + 300, out.now.wallMs() + 10);
+            outbox.now = new ClockReading(outbox.now.steadyMs() + 300, outbox.now.wallMs() + 10);
             marks.write();
-            for (Effect e : out.drain()) {
+            for (Effect e : outbox.drain()) {
                 Effect.StateCall call = (Effect.StateCall) e;
                 ((StateOp.Multi) call.op())
                         .writes()
@@ -95,7 +95,7 @@
                                                 FieldMap.jsonLength(value) <= SETTINGS.valueBytes(),
                                                 key));
                 boolean fails = round < 20 || (round < 100 && random.nextInt(3) > 0);
-                out.replied(
+                outbox.replied(
                         new StateReply(
                                 call.call(),
                                 fails ? new int[] {0, 503, 429}[random.nextInt(3)] : 200,
--- a/src/test/java/org/shoreusher/model/MoveStepsTest.java
+++ b/src/test/java/org/shoreusher/model/MoveStepsTest.java
@@ -67,8 +67,14 @@
             reportAll();
         }
         assertEquals(TASKS, first().shown(), "all on the first machine");
-        // The others come late: one that is idle for 20 s is returned, and a task is moved only
-        // when it has run for longer.
+        addIdleMachines();
+    }
+
+    /**
+     * The other machines come late: one that is idle for 20 s is returned, and a task is moved only
+     * when it has run for longer.
+     */
+    private void addIdleMachines() {
         for (int i = 0; i < 28; i++) {
             reportAll();
         }
@@ -233,14 +239,14 @@
         node.left("host-1");
         node.openJob(job());
         node.steps(20);
-        for (int i = 1; i <= MACHINES; i++) {
-            workers.add(new ScriptedWorker(node, "host-" + i));
-        }
+        workers.add(new ScriptedWorker(node, "host-1"));
         first().token = 6;
         for (int i = 0; i < TASKS; i++) {
             first().runs("wk-000001/" + i, 5);
         }
-        assertNull(awaitStop(60));
+        addIdleMachines();
+        assertNull(awaitStop(20));
+        assertEquals(List.of(), first().halted, "the tasks are wanted where they are");
     }
 
     /**
--- a/src/test/java/org/shoreusher/model/MovesTest.java
+++ b/src/test/java/org/shoreusher/model/MovesTest.java
@@ -217,6 +217,18 @@
                 "takeover: ");
     }
 
+    /** The owner loses its workers and hands the part over while moves are under way. */
+    @Example
+    void thePartIsHandedOverInTheMiddle() {
+        worlds(
+                (w, begun) -> {
+                    if (w.now < QUIET_MS - 40_000) {
+                        Troubles.owners(w).forEach(p -> Troubles.cutFromWorkers(w, p, 25_000));
+                    }
+                },
+                "released: most");
+    }
+
     @Example
     void theStateServiceIsOutDuringMoves() {
         worlds((w, begun) -> w.state.outage(3_000 + w.random.nextInt(9_000)), "lapse: ");
