--- a/src/main/java/org/shoreusher/balance/MovePlanner.java
+++ b/src/main/java/org/shoreusher/balance/MovePlanner.java
@@ -123,7 +123,9 @@
         }
         Choice best = null;
         for (MovableTask task : view.movableTasks(source.id(), team)) {
-            if (!moves.allows(task)) {
+            // No target can do better than one that has the image.
+            double mostS = task.remainingS() - task.saveS() - START_LAG_S;
+            if (!moves.allows(task) || (best != null && best.gainS() >= mostS)) {
                 continue;
             }
             for (MachineLoad target : targets) {
