--- a/src/main/java/org/shoreusher/measure/BookFairLoad.java
+++ b/src/main/java/org/shoreusher/measure/BookFairLoad.java
@@ -26,7 +26,9 @@
     /** A job with the moment at which it is submitted. */
     record Arrival(long atMs, JobRequest job) {}
 
-    private static final double CPUS = 1;
+    /** CPUs of each task. */
+    static final double CPUS = 1;
+
     private static final int IMAGES = 6;
     private static final double IMAGE_EXPONENT = 1.2;
     private static final double IMAGE_GB = 2;
