--- a/src/main/java/org/shoreusher/measure/BalanceMeasurement.java
+++ b/src/main/java/org/shoreusher/measure/BalanceMeasurement.java
@@ -129,7 +129,7 @@
         long nextMs = firstMs;
         while (ControllerProcess.nowMs() < untilMs) {
             if (ControllerProcess.nowMs() >= nextMs) {
-                spread.sample(cluster.machines(), cluster.history().runningOn(), jobs);
+                spread.sample(cluster.machines(), jobs);
                 nextMs += SAMPLE_MS;
                 printSample(cluster, spread);
             }
--- a/src/main/java/org/shoreusher/measure/SpreadSamples.java
+++ b/src/main/java/org/shoreusher/measure/SpreadSamples.java
@@ -42,21 +42,19 @@
     }
 
     /** Takes a sample of all machines. {@code jobs}: the jobs by their names. */
-    void sample(
-            CloudStandIn machines, Map<String, String> runningOn, Map<String, JobRequest> jobs) {
+    void sample(CloudStandIn machines, Map<String, JobRequest> jobs) {
         LoadModel load = new LoadModel();
         double machineCpus = machines.offer().cpus();
+        Map<String, Double> used = new HashMap<>();
         for (WorkerStandIn worker : machines.workers()) {
-            WorkerStandIn.Identity identity = worker.identity();
-            load.machine(identity.id(), identity.zone(), machineCpus, 1);
+            String id = worker.identity().id();
+            load.machine(id, worker.identity().zone(), machineCpus, 1);
+            for (String task : worker.tasksHeld()) {
+                JobRequest job = jobs.get(task.substring(0, task.indexOf('/')));
+                load.taskAdded(id, job.team(), job.cpus(), job.profile().image());
+                used.merge(id, job.cpus(), Double::sum);
+            }
         }
-        Map<String, Double> used = new HashMap<>();
-        runningOn.forEach(
-                (task, machine) -> {
-                    JobRequest job = jobs.get(task.substring(0, task.indexOf('/')));
-                    load.taskAdded(machine, job.team(), job.cpus(), job.profile().image());
-                    used.merge(machine, job.cpus(), Double::sum);
-                });
         last = load.spread(team);
         shares.recordValue(Math.round(Math.min(1, last) * THOUSAND));
         long nowMs = ControllerProcess.nowMs();
--- a/src/main/java/org/shoreusher/standin/TaskHistory.java
+++ b/src/main/java/org/shoreusher/standin/TaskHistory.java
@@ -60,11 +60,6 @@
         return machines.size();
     }
 
-    /** Where each task that runs now is. */
-    public synchronized Map<String, String> runningOn() {
-        return new HashMap<>(machines);
-    }
-
     /** When each task first began, in ms of {@link System#nanoTime}. */
     public synchronized Map<String, Long> firstStartMs() {
         return new HashMap<>(firstStartMs);
--- a/src/main/java/org/shoreusher/standin/WorkerStandIn.java
+++ b/src/main/java/org/shoreusher/standin/WorkerStandIn.java
@@ -128,6 +128,14 @@
         endTasks();
     }
 
+    /** Tasks that take room on the machine: those that fetch, run or save. */
+    public synchronized List<String> tasksHeld() {
+        return tasks.values().stream()
+                .filter(task -> task.state != State.EXITED)
+                .map(task -> task.name)
+                .toList();
+    }
+
     synchronized boolean runs(String task) {
         return !stopped && tasks.containsKey(task) && tasks.get(task).state != State.EXITED;
     }
