--- a/src/main/java/org/shoreusher/measure/BalanceMeasurement.java
+++ b/src/main/java/org/shoreusher/measure/BalanceMeasurement.java
@@ -102,6 +102,7 @@
         try (Cluster cluster = new Cluster(shape)) {
             cluster.start();
             play(cluster, spread);
+            cluster.requireAlive();
             report(cluster, spread);
             check(cluster.history(), spread, settings);
         } finally {
--- a/src/main/java/org/shoreusher/measure/Cluster.java
+++ b/src/main/java/org/shoreusher/measure/Cluster.java
@@ -138,6 +138,19 @@
         }
     }
 
+    /** Fails if a controller has ended by itself, with the last line that it has logged. */
+    void requireAlive() {
+        for (ControllerProcess controller : controllers) {
+            if (!controller.alive()) {
+                ControllerProcess.Line line = controller.last(Long.MIN_VALUE, text -> true);
+                throw new IllegalStateException(
+                        controller.host()
+                                + " has ended by itself: "
+                                + (line == null ? "no line" : line.text()));
+            }
+        }
+    }
+
     /** The controller that took the part last; null before the first takeover. */
     ControllerProcess owner() {
         ControllerProcess owner = null;
--- a/src/main/java/org/shoreusher/measure/FleetMeasurement.java
+++ b/src/main/java/org/shoreusher/measure/FleetMeasurement.java
@@ -73,6 +73,7 @@
                 takeover(cluster, tasks);
             }
             steady(cluster);
+            cluster.requireAlive();
             if (!cluster.history().violations().isEmpty()) {
                 throw new IllegalStateException(String.join("; ", cluster.history().violations()));
             }
