Reread: unused methods are gone; a section within a section is read by FieldMap.map

FieldMap.asMapOf did what FieldMap.map does, without its check, which FeatureSection then made again. Three methods that nothing called are gone.

--- a/src/main/java/org/shoreusher/balance/BalanceStatistics.java
+++ b/src/main/java/org/shoreusher/balance/BalanceStatistics.java
@@ -51,11 +51,6 @@
         return begun;
     }
 
-    /** Moves whose task was started at its target. */
-    public int movesStarted() {
-        return started;
-    }
-
     /** One line for the log. */
     public String line() {
         return ("spread median %.3f, 99%% %.3f, most %.3f; moves %d begun, %d started,"
--- a/src/main/java/org/shoreusher/balance/Balancer.java
+++ b/src/main/java/org/shoreusher/balance/Balancer.java
@@ -1,7 +1,6 @@
 package org.shoreusher.balance;
 
 import java.util.ArrayList;
-import java.util.Collection;
 import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.List;
@@ -180,11 +179,6 @@
         return on == null ? "" : on.zone();
     }
 
-    /** The moves under way. */
-    public Collection<Move> moves() {
-        return List.copyOf(moves.values());
-    }
-
     /** The move of a task that is under way; null if there is none. */
     public Move move(TaskId task) {
         return moves.get(task);
--- a/src/main/java/org/shoreusher/settings/FeatureSection.java
+++ b/src/main/java/org/shoreusher/settings/FeatureSection.java
@@ -56,14 +56,14 @@
 
     /** A section within this one; null if it is absent. */
     FeatureSection section(String key) throws Settings.Invalid {
-        Object value = value(key);
-        if (value == null) {
+        if (value(key) == null) {
             return null;
         }
-        if (!(value instanceof Map<?, ?>)) {
+        try {
+            return new FeatureSection(path(key), new FieldMap(values).map(key).asMap());
+        } catch (FieldMap.Missing e) {
             throw wrong(key, "a section");
         }
-        return new FeatureSection(path(key), new FieldMap(values).asMapOf(key));
     }
 
     /** The names of all that is in this section. */
--- a/src/main/java/org/shoreusher/wire/FieldMap.java
+++ b/src/main/java/org/shoreusher/wire/FieldMap.java
@@ -193,12 +193,6 @@
         return map;
     }
 
-    /** The entries of a field that holds a map. */
-    @SuppressWarnings("unchecked")
-    public Map<String, Object> asMapOf(String field) {
-        return (Map<String, Object>) map.get(field);
-    }
-
     /** Whether a field is there and not null. */
     public boolean has(String field) {
         return map.get(field) != null;
--- a/src/test/java/org/shoreusher/model/ScriptedWorker.java
+++ b/src/test/java/org/shoreusher/model/ScriptedWorker.java
@@ -37,16 +37,7 @@
 
     /** Reports, and carries out starts and the removal of tasks; stops are only noted. */
     void report() {
-        reportAs(++sequence);
-    }
-
-    /** The number of its next report. */
-    long nextSequence() {
-        return sequence + 1;
-    }
-
-    void reportAs(long number) {
-        node.report(id, number, token, tasks.values().toArray(new TaskReport[0]));
+        node.report(id, ++sequence, token, tasks.values().toArray(new TaskReport[0]));
         started = new ArrayList<>();
         halted = new ArrayList<>();
         List<Map<?, ?>> orders = node.ordersOfLast();
