--- a/src/main/java/org/shoreusher/balance/Move.java
+++ b/src/main/java/org/shoreusher/balance/Move.java
@@ -44,7 +44,9 @@
         /** The target did not report in time. */
         TARGET_SILENT,
         /** The team's limit leaves no room for the task. */
-        TEAM_LIMIT
+        TEAM_LIMIT,
+        /** What is known of the machines has turned out not to be what is on them. */
+        REBUILD
     }
 
     private final MovableTask task;
--- a/src/main/java/org/shoreusher/cli/Service.java
+++ b/src/main/java/org/shoreusher/cli/Service.java
@@ -12,6 +12,7 @@
 import org.shoreusher.core.Effect;
 import org.shoreusher.core.Node;
 import org.shoreusher.peer.Peers;
+import org.shoreusher.peer.StandbyLines;
 import org.shoreusher.settings.Features;
 import org.shoreusher.settings.Settings;
 import org.shoreusher.settings.Tuning;
@@ -38,6 +39,7 @@
     private final CloudClient cloud;
     private final WorkerClient workers;
     private final Peers peers;
+    private final StandbyLines standbyLines;
     private final HttpFrontend front;
     private boolean working;
     private long tickedAtMs;
@@ -52,6 +54,7 @@
         cloud = new CloudClient(loop, settings, this::mustTake);
         workers = new WorkerClient(loop);
         peers = new Peers(group, settings, this::take);
+        standbyLines = new StandbyLines(group, settings);
         front = new HttpFrontend(group, settings, this::take, this::lagMs);
     }
 
@@ -153,6 +156,8 @@
             workers.send(e);
         } else if (effect instanceof Effect.Tell e) {
             peers.tell(e.hint());
+        } else if (effect instanceof Effect.SendToPeer e) {
+            standbyLines.send(e.host(), e.message());
         } else if (effect instanceof Effect.Log e) {
             if (e.detail()) {
                 LOG.debug(e.line());
--- a/src/main/java/org/shoreusher/core/Balancing.java
+++ b/src/main/java/org/shoreusher/core/Balancing.java
@@ -276,6 +276,11 @@
                                 move.gainS()));
     }
 
+    /** Gives up all moves: what is known of the machines is not what is on them. */
+    void abandonAll() {
+        List.copyOf(reservations.values()).forEach(r -> abandon(r, Move.Reason.REBUILD));
+    }
+
     private void abandon(Reservation r, Move.Reason reason) {
         release(r);
         balancer.abandon(r.move, reason, outbox.now.steadyMs());
--- a/src/main/java/org/shoreusher/core/Command.java
+++ b/src/main/java/org/shoreusher/core/Command.java
@@ -2,6 +2,7 @@
 
 import java.util.List;
 import java.util.Map;
+import org.shoreusher.standby.StandbyMessage;
 
 /** What comes to the core. {@code request} and {@code call} numbers lead answers back. */
 public sealed interface Command {
@@ -32,6 +33,9 @@
     /** A peer's hint. */
     record PeerHint(Hint hint) implements Command {}
 
+    /** A message of the warm standby from another controller. */
+    record FromPeer(StandbyMessage message) implements Command {}
+
     /** Time has passed. */
     record Tick() implements Command {}
 
--- a/src/main/java/org/shoreusher/core/Effect.java
+++ b/src/main/java/org/shoreusher/core/Effect.java
@@ -2,6 +2,7 @@
 
 import java.util.List;
 import java.util.Map;
+import org.shoreusher.standby.StandbyMessage;
 
 /** What the core wants done. */
 public sealed interface Effect {
@@ -25,6 +26,9 @@
     /** Tells the peers. */
     record Tell(Hint hint) implements Effect {}
 
+    /** Sends a message of the warm standby to one controller; it may be lost. */
+    record SendToPeer(String host, StandbyMessage message) implements Effect {}
+
     /** One line for the operator; {@code detail}: only at the debug level. */
     record Log(String line, boolean detail) implements Effect {}
 
--- a/src/main/java/org/shoreusher/core/Fleet.java
+++ b/src/main/java/org/shoreusher/core/Fleet.java
@@ -83,7 +83,7 @@
         room.addAll(rentals.coming());
         Planner planner =
                 new Planner(room, part.teamRoom()::cpusRentable, part.teamRoom()::gpusLeft);
-        List<Job> jobs = part.ordered();
+        List<Job> jobs = part.openJobs().ordered();
         int most = rentals.room();
         List<Planner.Slot> wanting = new ArrayList<>();
         Object2IntOpenHashMap<String> perZone = perZone();
--- a/src/main/java/org/shoreusher/core/JobSpec.java
+++ b/src/main/java/org/shoreusher/core/JobSpec.java
@@ -1,6 +1,7 @@
 package org.shoreusher.core;
 
 import java.util.List;
+import org.shoreusher.settings.Tuning;
 
 /**
  * What a user asked for. {@code types} null means any, {@code zone} null any, {@code deadlineS} NaN
@@ -28,6 +29,34 @@
         double saveS,
         double deadlineS) {
 
+    /**
+     * A job of which only its team and what its tasks take of a machine are known, and which may
+     * not be started by it.
+     */
+    static JobSpec ofRoom(String id, String team, double cpus, double gpus, double memGb) {
+        return new JobSpec(
+                id,
+                "",
+                team,
+                Shape.BATCH,
+                Priority.LOW,
+                Tuning.MAX_TASKS,
+                cpus,
+                gpus,
+                memGb,
+                "",
+                0,
+                null,
+                null,
+                false,
+                false,
+                true,
+                1,
+                0,
+                0,
+                Double.NaN);
+    }
+
     /** Most urgent first. */
     public enum Priority {
         PRODUCTION,
--- a/src/main/java/org/shoreusher/core/MemberFormats.java
+++ b/src/main/java/org/shoreusher/core/MemberFormats.java
@@ -1,10 +1,15 @@
 package org.shoreusher.core;
 
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.function.Predicate;
 import org.shoreusher.core.Effect.StateOp;
+import org.shoreusher.settings.Features;
 import org.shoreusher.settings.Settings;
 import org.shoreusher.settings.Tuning;
+import org.shoreusher.standby.StandbyChooser;
 
 /**
  * Which stored formats every member understands. Each process of this version notes under a key of
@@ -25,7 +30,13 @@
     private static final String FORMATS = "formats";
     private static final String PROCESS = "process";
 
+    /** Which log of attempts the process understands as a standby; absent: none. */
+    private static final String STANDBY = "standby";
+
+    private static final long STANDBY_LOG = 1;
+
     private final Settings settings;
+    private final Features features;
     private final Outbox outbox;
     private final StoreView view;
     private final String process;
@@ -45,8 +56,15 @@
     /**
      * @param process the name of this process, which no other has ever had
      */
-    MemberFormats(Settings settings, Outbox outbox, StoreView view, String process, int parts) {
+    MemberFormats(
+            Settings settings,
+            Features features,
+            Outbox outbox,
+            StoreView view,
+            String process,
+            int parts) {
         this.settings = settings;
+        this.features = features;
         this.outbox = outbox;
         this.view = view;
         this.process = process;
@@ -79,8 +97,13 @@
     private void note() {
         nextMs = outbox.now.steadyMs() + Tuning.STATE_RETRY_MS;
         String key = StoreSchema.node(settings.host());
-        Map<String, Map<String, Object>> writes =
-                Map.of(key, Map.of(FORMATS, SERVICES, PROCESS, process));
+        Map<String, Object> note = new LinkedHashMap<>();
+        note.put(FORMATS, SERVICES);
+        note.put(PROCESS, process);
+        if (features.standby() != null) {
+            note.put(STANDBY, STANDBY_LOG);
+        }
+        Map<String, Map<String, Object>> writes = Map.of(key, note);
         writing =
                 outbox.state(
                         new StateOp.Multi(Map.of(key, view.version(key)), writes),
@@ -92,6 +115,26 @@
                         });
     }
 
+    /**
+     * The processes of other members that understand this version's log of attempts.
+     *
+     * @param up whether the controller of a host has lately been heard
+     */
+    List<StandbyChooser.Candidate> standbys(Predicate<String> up) {
+        List<StandbyChooser.Candidate> candidates = new ArrayList<>();
+        for (Settings.Member member : settings.members()) {
+            StoreView.Entry note = view.get(StoreSchema.node(member.host()));
+            if (note != null
+                    && note.value().get(STANDBY) instanceof Number log
+                    && log.longValue() == STANDBY_LOG
+                    && note.value().get(PROCESS) instanceof String noted
+                    && up.test(member.host())) {
+                candidates.add(new StandbyChooser.Candidate(noted, member.zone()));
+            }
+        }
+        return candidates;
+    }
+
     /** Whether every node is known, by the store and not by hints, to understand services. */
     boolean services() {
         return oldMembers().isEmpty();
--- a/src/main/java/org/shoreusher/core/Node.java
+++ b/src/main/java/org/shoreusher/core/Node.java
@@ -10,6 +10,9 @@
 import org.shoreusher.settings.Features;
 import org.shoreusher.settings.Settings;
 import org.shoreusher.settings.Tuning;
+import org.shoreusher.standby.LogAcknowledgement;
+import org.shoreusher.standby.LogFrame;
+import org.shoreusher.standby.StandbyMessage;
 
 /**
  * The one owner of all state of a process: takes batches of commands with a reading of the clocks,
@@ -44,7 +47,7 @@
         view = new StoreView(outbox, settings, this::changed);
         arrivals = new Arrivals(settings, outbox, view);
         types = new MachineTypes(settings, outbox, view);
-        formats = new MemberFormats(settings, outbox, view, owner, count);
+        formats = new MemberFormats(settings, features, outbox, view, owner, count);
         peers = new PeerHints(settings, outbox, count, this::ownedPart);
         NodeContext context =
                 new NodeContext(settings, features, outbox, view, arrivals, index, types, formats);
@@ -95,6 +98,19 @@
             outbox.replied(r);
         } else if (command instanceof Command.PeerHint p) {
             peers.heard(p.hint());
+        } else if (command instanceof Command.FromPeer p) {
+            standbyMessage(p.message());
+        }
+    }
+
+    private void standbyMessage(StandbyMessage message) {
+        if (message instanceof LogFrame frame) {
+            parts.replicas().receive(frame);
+        } else if (message instanceof LogAcknowledgement answer) {
+            Part part = parts.owned(answer.stream().part());
+            if (part != null) {
+                part.replication().acknowledged(answer);
+            }
         }
     }
 
@@ -188,11 +204,11 @@
         for (int n = 0; n < parts.count(); n++) {
             Part part = parts.owned(n);
             if (part != null && n == record.part()) {
-                part.jobChanged(id, record);
+                part.openJobs().changed(id, record);
             } else if (part != null) {
                 // Two nodes may have accepted it for different parts; its own record tells for
                 // which.
-                part.close(id);
+                part.openJobs().close(id);
             }
         }
         if (record.status() == JobStatus.DONE) {
--- a/src/main/java/org/shoreusher/core/Part.java
+++ b/src/main/java/org/shoreusher/core/Part.java
@@ -1,13 +1,10 @@
 package org.shoreusher.core;
 
-import it.unimi.dsi.fastutil.objects.Object2ObjectLinkedOpenHashMap;
 import it.unimi.dsi.fastutil.objects.Object2ObjectOpenHashMap;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
 import org.shoreusher.core.Hint.PartHint;
-import org.shoreusher.core.StoreSchema.JobRecord;
-import org.shoreusher.core.StoreSchema.JobStatus;
 import org.shoreusher.settings.Settings;
 import org.shoreusher.settings.Tuning;
 
@@ -36,6 +33,9 @@
          */
         int cameBack(int part);
 
+        /** Whether the controller of a host has lately been heard. */
+        boolean up(String host);
+
         /** steady ms up to which another node may have heard this one say so. */
         long saidStateAwayUntilMs();
     }
@@ -52,8 +52,7 @@
     private final Fleet fleet;
     private final Estimates estimates = new Estimates();
     private final Urgency urgency;
-    private final Object2ObjectLinkedOpenHashMap<String, Job> jobs =
-            new Object2ObjectLinkedOpenHashMap<>();
+    private final OpenJobs openJobs;
     private final Object2ObjectOpenHashMap<String, Machine> machines =
             new Object2ObjectOpenHashMap<>();
     private final ResourceLedger ledger = new ResourceLedger();
@@ -70,11 +69,18 @@
     private final Rebuild rebuild;
     private final TeamRoom teamRoom;
     private final Balancing balancing;
+    private final AttemptReplication replication;
     private final MachineLifecycle lifecycle;
     private long nextWalkMs;
     private long nextStatusMs;
 
-    Part(int number, int parts, NodeContext context, Others others, PartOwnership ownership) {
+    Part(
+            int number,
+            int parts,
+            NodeContext context,
+            Others others,
+            PartOwnership ownership,
+            Inheritance inheritance) {
         this.number = number;
         this.parts = parts;
         this.others = others;
@@ -89,6 +95,8 @@
         this.records =
                 new MachineRecords(number, context, ownership, machines, this::removeMachine);
         this.urgency = new Urgency(settings, estimates);
+        this.openJobs = new OpenJobs(this, outbox);
+        Map<String, Job> jobs = openJobs.byId();
         this.fleet = new Fleet(this, settings, outbox, types);
         this.otherParts = new OtherParts(number, parts, others, jobs, machines);
         this.marks = new StartMarks(number, parts, context, ownership, jobs);
@@ -96,7 +104,9 @@
         this.stops = new TaskStops(this, outbox);
         this.balancing = new Balancing(this, context, ledger);
         ledger.listen(balancing);
-        this.rebuild = new Rebuild(this, context, ownership, marks);
+        this.replication = new AttemptReplication(this, context, others, ownership);
+        ledger.listen(replication);
+        this.rebuild = new Rebuild(this, context, ownership, marks, ledger, inheritance);
         this.lifecycle = new MachineLifecycle(this, parts, context, others, ownership, ledger);
         this.teamRoom = new TeamRoom(settings, quota, ledger, rebuild, otherParts);
         this.reports = new Reports(this, context, ledger, marks);
@@ -180,7 +190,7 @@
     }
 
     private FinishedRecords finished() {
-        return FinishedRecords.of(jobs.values(), settings, ownership::storedDone);
+        return FinishedRecords.of(jobs().values(), settings, ownership::storedDone);
     }
 
     Estimates estimates() {
@@ -192,7 +202,19 @@
     }
 
     Map<String, Job> jobs() {
-        return jobs;
+        return openJobs.byId();
+    }
+
+    OpenJobs openJobs() {
+        return openJobs;
+    }
+
+    Rebuild rebuild() {
+        return rebuild;
+    }
+
+    AttemptReplication replication() {
+        return replication;
     }
 
     Map<String, Machine> machines() {
@@ -286,6 +308,7 @@
         marks.write();
         records.write();
         finalStates.write();
+        replication.step();
         if (holds()) {
             arrivals.sweep(ownership);
         }
@@ -322,67 +345,8 @@
         return outbox.now.steadyMs() > m.answeredAtMs + PartLease.workerLeaseMs(settings);
     }
 
-    // ---- jobs --------------------------------------------------------------------------------
-
-    /** A job of this part has appeared or changed in the view. */
-    void jobChanged(String id, JobRecord record) {
-        if (!rebuild.loaded()) {
-            return;
-        }
-        if (record.status() != JobStatus.OPEN) {
-            close(id);
-        } else if (!jobs.containsKey(id)) {
-            // Accepted under this owner's lease, so no machine can have any of it.
-            addJob(id, record).waitFrom(0);
-        } else {
-            jobs.get(id).startBelow = Math.max(jobs.get(id).startBelow, record.begun());
-        }
-    }
-
-    /** Takes on a job of this part. */
-    Job addJob(String id, JobRecord record) {
-        Job job = new Job(id, record.description(), record.acceptedMs());
-        job.closed = record.status() != JobStatus.OPEN;
-        job.startBelow = record.begun();
-        if (!job.closed) {
-            jobs.put(id, job);
-        }
-        return job;
-    }
-
-    /** Nothing of the job may run here any more: it has ended, or belongs to another part. */
-    void close(String id) {
-        Job job = jobs.remove(id);
-        if (job == null) {
-            return;
-        }
-        job.closed = true;
-        balancing.jobEnded(job);
-        job.waiting.clear();
-        job.waitingCount = 0;
-        for (TaskAttempt live : new ArrayList<>(job.live.values())) {
-            live.mustStop = true;
-            stops.halt(live, 0);
-        }
-    }
-
     // ---- placing -----------------------------------------------------------------------------
 
-    /** Jobs with waiting tasks, most pressing first. */
-    List<Job> ordered() {
-        List<Job> list = new ArrayList<>();
-        for (Job job : jobs.values()) {
-            if (job.waitingCount > 0
-                    && !job.closed
-                    && !job.zonesUnknown
-                    && !job.paused(outbox.now.steadyMs())) {
-                list.add(job);
-            }
-        }
-        urgency.sort(list, outbox.now.wallMs());
-        return list;
-    }
-
     /** A planner over all machines that have room now. */
     Planner planner() {
         List<Planner.Slot> slots = new ArrayList<>();
--- a/src/main/java/org/shoreusher/core/PartOwnership.java
+++ b/src/main/java/org/shoreusher/core/PartOwnership.java
@@ -23,6 +23,7 @@
     private final StoreView view;
     private final String owner;
     private final PartLease lease;
+    private final NamedStandby standby = new NamedStandby();
     private final long fenceVersion;
     private final long takenAtMs;
     private final long takenTerm;
@@ -69,10 +70,26 @@
         nextRenewMs = writtenAt.steadyMs() + PartLease.heartbeatMs(settings);
     }
 
+    /** The owning process, HOST/SUFFIX. */
+    String owner() {
+        return owner;
+    }
+
     boolean lost() {
         return lost;
     }
 
+    /** Lets the part's record name this standby, soon; null: none. */
+    void nameStandby(String process) {
+        standby.want(process);
+        nextRenewMs = Math.min(nextRenewMs, outbox.now.steadyMs());
+    }
+
+    /** Whether the record names no standby, and no write that was sent can still name one. */
+    boolean surelyNoStandby() {
+        return standby.surelyNone();
+    }
+
     /** Whether commands may be given and effects decided. */
     boolean holds() {
         return !lost && lease.holds(outbox.now);
@@ -141,7 +158,11 @@
         Map<String, Map<String, Object>> writes = new LinkedHashMap<>();
         PartRecord record =
                 new PartRecord(
-                        owner, expiry, term, records == null ? doneInStore() : records.chunk(0));
+                        owner,
+                        expiry,
+                        term,
+                        records == null ? doneInStore() : records.chunk(0),
+                        standby.wanted());
         writes.put(StoreSchema.part(partNumber), record.write());
         // In turns: with many jobs every chunk changes between heartbeats, and the last ones must
         // become durable as well.
@@ -157,6 +178,7 @@
                 lastChunk = c;
             }
         }
+        standby.sending(record.standby());
         renewing =
                 outbox.renewal(
                         new StateOp.Multi(
@@ -203,7 +225,11 @@
         if (reply.status() == 200) {
             recordVersion = view.applied(reply, writes);
             confirmed(record.expiryMs(), sentAt);
-            nextRenewMs = sentAt.steadyMs() + PartLease.heartbeatMs(settings);
+            standby.settled(record.standby());
+            nextRenewMs =
+                    standby.asWanted()
+                            ? sentAt.steadyMs() + PartLease.heartbeatMs(settings)
+                            : outbox.now.steadyMs();
             if (lapsedLogged && holds()) {
                 lapsedLogged = false;
                 sinceMs = outbox.now.steadyMs();
@@ -254,6 +280,7 @@
                 lose("taken by " + record.owner());
             } else if (e.version() > recordVersion) {
                 recordVersion = e.version();
+                standby.settled(record.standby());
                 term = Math.max(term, record.term());
                 confirmed(record.expiryMs(), outbox.now);
                 nextRenewMs = outbox.now.steadyMs();
@@ -274,9 +301,11 @@
         Map<String, Long> guards = guards(StoreSchema.part(partNumber), recordVersion);
         guards.put(StoreSchema.TERM, counter == null ? 0 : counter.version());
         Map<String, Map<String, Object>> writes = new LinkedHashMap<>();
-        PartRecord record = new PartRecord(owner, lease.expiryWallMs(), next, doneInStore());
+        PartRecord record =
+                new PartRecord(owner, lease.expiryWallMs(), next, doneInStore(), standby.wanted());
         writes.put(StoreSchema.part(partNumber), record.write());
         writes.put(StoreSchema.TERM, Map.of("term", next));
+        standby.sending(record.standby());
         renewing =
                 outbox.renewal(
                         new StateOp.Multi(guards, writes),
@@ -284,6 +313,7 @@
                             renewing = false;
                             if (reply.status() == 200 && !lost) {
                                 recordVersion = view.applied(reply, writes);
+                                standby.settled(record.standby());
                                 term = next;
                                 outbox.log(
                                         "term: part "
@@ -315,7 +345,8 @@
         if (renewing) {
             return;
         }
-        PartRecord record = new PartRecord(owner, 0, term, done.chunk(0));
+        // The standby takes over at once, and what left this owner it knows.
+        PartRecord record = new PartRecord(owner, 0, term, done.chunk(0), standby.wanted());
         if (outbox.renewal(
                 new StateOp.Multi(
                         guards(StoreSchema.part(partNumber), recordVersion),
--- a/src/main/java/org/shoreusher/core/Parts.java
+++ b/src/main/java/org/shoreusher/core/Parts.java
@@ -9,6 +9,8 @@
 import org.shoreusher.core.StoreSchema.PartRecord;
 import org.shoreusher.settings.Settings;
 import org.shoreusher.settings.Tuning;
+import org.shoreusher.standby.LogStream;
+import org.shoreusher.standby.StandbySettings;
 import org.shoreusher.wire.FieldMap;
 
 /** Takes parts that are free, deals them out evenly, and holds those this node owns. */
@@ -31,6 +33,7 @@
     private final NodeContext context;
     private final String owner;
     private final Peers peers;
+    private final AttemptReplicas replicas;
     private final Part[] owned;
     private final int first;
     private final long[] freeSinceMs;
@@ -44,6 +47,7 @@
         view = context.view();
         this.context = context;
         this.peers = peers;
+        replicas = new AttemptReplicas(context, owner, count);
         owned = new Part[count];
         first =
                 (int)
@@ -83,6 +87,11 @@
         return owned.length;
     }
 
+    /** The logs that this node receives as a standby. */
+    AttemptReplicas replicas() {
+        return replicas;
+    }
+
     void step() {
         for (int n = 0; n < owned.length; n++) {
             if (owned[n] != null) {
@@ -92,6 +101,7 @@
                     nextTakeMs = outbox.now.steadyMs() + Tuning.LEAVE_TO_OTHERS_MS;
                 }
                 if (owned[n].lost()) {
+                    owned[n].replication().close();
                     owned[n] = null;
                 }
             }
@@ -121,14 +131,27 @@
             }
             // Who holds fewer comes first, so that parts spread out; then who is younger, since a
             // rolling restart comes back to that one last.
-            if (freeSinceMs[n] > 0
-                    && outbox.now.steadyMs() - freeSinceMs[n]
-                            >= peers.before(ownedCount()) * Tuning.TAKE_PAUSE_MS) {
+            if (freeSinceMs[n] > 0 && outbox.now.steadyMs() - freeSinceMs[n] >= pauseMs(record)) {
                 take(n, record);
             }
         }
     }
 
+    /**
+     * ms that a free part is left to others. Its named standby comes first, and others leave it a
+     * head start while it is heard; a standby that is dead costs no more than that.
+     */
+    private long pauseMs(PartRecord record) {
+        String named = record == null ? null : record.standby();
+        if (named != null && named.equals(owner)) {
+            return 0;
+        }
+        StandbySettings standby = context.features().standby();
+        boolean headStart = named != null && standby != null && peers.up(LogStream.hostOf(named));
+        return peers.before(ownedCount()) * Tuning.TAKE_PAUSE_MS
+                + (headStart ? standby.headStartMs() : 0);
+    }
+
     /** Gives a part up, if another node holds two less. */
     private void dealOut() {
         if (outbox.now.steadyMs() < nextDealMs) {
@@ -209,12 +232,15 @@
         StoreView.Entry counter = view.get(StoreSchema.TERM);
         long term = 1 + (counter == null ? 0 : ((Number) counter.value().get("term")).longValue());
         ClockReading sentAt = outbox.now;
+        String named = before == null ? null : before.standby();
+        AttemptReplicas.Fence replaced = replicas.fence(n);
         PartRecord record =
                 new PartRecord(
                         owner,
                         sentAt.wallMs() + PartLease.leaseMs(settings),
                         term,
-                        before == null || tooLong ? Map.of() : before.done());
+                        before == null || tooLong ? Map.of() : before.done(),
+                        null);
         Map<String, Long> guards = new LinkedHashMap<>();
         guards.put(StoreSchema.part(n), view.version(StoreSchema.part(n)));
         guards.put(StoreSchema.TERM, view.version(StoreSchema.TERM));
@@ -229,15 +255,6 @@
                             taking = false;
                             if (reply.status() == 200) {
                                 long revision = view.applied(reply, writes);
-                                owned[n] =
-                                        new Part(
-                                                n,
-                                                owned.length,
-                                                context,
-                                                peers,
-                                                new PartOwnership(
-                                                        n, settings, outbox, view, record, sentAt,
-                                                        revision));
                                 nextTakeMs = outbox.now.steadyMs();
                                 outbox.log(
                                         "takeover: part "
@@ -247,10 +264,30 @@
                                                 + (before == null
                                                         ? ", new"
                                                         : " from " + before.owner()));
+                                PartOwnership ownership =
+                                        new PartOwnership(
+                                                n, settings, outbox, view, record, sentAt,
+                                                revision);
+                                Inheritance inheritance =
+                                        new Inheritance(
+                                                replicas.promoted(n, named, replaced),
+                                                outcome -> replicas.count(n, outcome));
+                                owned[n] =
+                                        new Part(
+                                                n,
+                                                owned.length,
+                                                context,
+                                                peers,
+                                                ownership,
+                                                inheritance);
                             } else if (reply.status() == 409) {
                                 // Another took this part, or counted the term up for a different
                                 // one.
                                 nextTakeMs = outbox.now.steadyMs() + Tuning.TAKE_AGAIN_MS;
+                            } else {
+                                // In an outage the named standby has had no chance either: its head
+                                // start begins anew.
+                                freeSinceMs[n] = named == null ? freeSinceMs[n] : 0;
                             }
                         });
     }
--- a/src/main/java/org/shoreusher/core/PeerHints.java
+++ b/src/main/java/org/shoreusher/core/PeerHints.java
@@ -98,6 +98,12 @@
                                                 < Tuning.HINT_STALE_MS);
     }
 
+    @Override
+    public boolean up(String host) {
+        Hint hint = hints.get(host);
+        return hint != null && fresh(hint);
+    }
+
     @Override
     public long saidStateAwayUntilMs() {
         return saidStateAwayMs
--- a/src/main/java/org/shoreusher/core/Placement.java
+++ b/src/main/java/org/shoreusher/core/Placement.java
@@ -110,7 +110,7 @@
         shares.clear();
         rest.clear();
         kept.clear();
-        List<Job> jobs = part.ordered();
+        List<Job> jobs = part.openJobs().ordered();
         if (jobs.isEmpty()) {
             return;
         }
--- a/src/main/java/org/shoreusher/core/ReportReader.java
+++ b/src/main/java/org/shoreusher/core/ReportReader.java
@@ -46,7 +46,7 @@
                 exited(m, key, t);
             } else {
                 shown.add(key);
-                present(m, key, t);
+                present(m, key, t, r.token());
             }
         }
         if (found) {
@@ -78,13 +78,14 @@
                 !m.tasks.isEmpty() ? -1 : m.idleSinceMs < 0 ? outbox.now.steadyMs() : m.idleSinceMs;
     }
 
-    private void present(Machine m, String key, TaskReport t) {
+    private void present(Machine m, String key, TaskReport t, long token) {
         TaskAttempt live = m.tasks.get(key);
         if (live != null && live.attempt != t.attempt()) {
             ledger.remove(live);
             live = null;
         }
         if (live == null) {
+            part.rebuild().unknownAttempt(m, t, token);
             Job job = part.jobs().get(t.job());
             boolean wanted =
                     job != null
@@ -125,27 +126,7 @@
         JobSpec spec =
                 record != null && record.spec() != null
                         ? record.description()
-                        : new JobSpec(
-                                id,
-                                "",
-                                "",
-                                JobSpec.Shape.BATCH,
-                                JobSpec.Priority.LOW,
-                                Tuning.MAX_TASKS,
-                                m.type.cpus(),
-                                m.type.gpus(),
-                                m.type.memGb(),
-                                "",
-                                0,
-                                null,
-                                null,
-                                false,
-                                false,
-                                true,
-                                1,
-                                0,
-                                0,
-                                Double.NaN);
+                        : JobSpec.ofRoom(id, "", m.type.cpus(), m.type.gpus(), m.type.memGb());
         Job job = new Job(id, spec, outbox.now.wallMs());
         job.closed = true;
         return job;
--- a/src/main/java/org/shoreusher/core/Reports.java
+++ b/src/main/java/org/shoreusher/core/Reports.java
@@ -77,6 +77,7 @@
             outbox.answerUnavailable(request);
             return;
         }
+        part.replication().newReport(m);
         m.reported(r, outbox.now.steadyMs(), settings);
         reader.read(m, r);
         List<WorkerOrder> orders = new ArrayList<>();
@@ -87,15 +88,14 @@
                             || m.gpusFree() > Tuning.EPSILON
                             || part.balancing().hasReady(m))
                     && part.mayStart()
+                    && part.replication().mayStart()
                     && part.available(m)) {
                 start(m, orders);
             }
         } else {
             orders.addAll(stopsOfCancelled(r));
         }
-        m.repliedAtMs = outbox.now.steadyMs();
-        m.answeredAtMs = outbox.now.steadyMs();
-        outbox.answer(request, new Response.Orders(part.term(), orders));
+        part.replication().answer(request, m, orders);
     }
 
     /**
--- a/src/main/java/org/shoreusher/core/ResourceLedger.java
+++ b/src/main/java/org/shoreusher/core/ResourceLedger.java
@@ -1,6 +1,8 @@
 package org.shoreusher.core;
 
 import it.unimi.dsi.fastutil.objects.Object2DoubleOpenHashMap;
+import java.util.ArrayList;
+import java.util.List;
 
 /**
  * Books every task of a part that is or may be on a machine: in its machine's room, in its team's
@@ -17,16 +19,7 @@
         void removed(TaskAttempt live);
     }
 
-    private static final Listener NOBODY =
-            new Listener() {
-                @Override
-                public void added(TaskAttempt live) {}
-
-                @Override
-                public void removed(TaskAttempt live) {}
-            };
-
-    private Listener listener = NOBODY;
+    private final List<Listener> listeners = new ArrayList<>();
     private final Object2DoubleOpenHashMap<String> teamCpus = new Object2DoubleOpenHashMap<>();
     private final Object2DoubleOpenHashMap<String> teamGpus = new Object2DoubleOpenHashMap<>();
 
@@ -35,9 +28,9 @@
 
     private final Object2DoubleOpenHashMap<String> foundGpus = new Object2DoubleOpenHashMap<>();
 
-    /** Tells this listener from now on. */
-    void listen(Listener to) {
-        listener = to;
+    /** Tells this listener too from now on. */
+    void listen(Listener listener) {
+        listeners.add(listener);
     }
 
     /** Holds room in the team's use for a task that is on no machine just now. */
@@ -88,7 +81,7 @@
             live.job.live.put(live.index, live);
             live.job.setWaiting(live.index, false);
         }
-        listener.added(live);
+        listeners.forEach(listener -> listener.added(live));
     }
 
     /**
@@ -113,6 +106,6 @@
                 job.setWaiting(live.index, true);
             }
         }
-        listener.removed(live);
+        listeners.forEach(listener -> listener.removed(live));
     }
 }
--- a/src/main/java/org/shoreusher/core/StoreSchema.java
+++ b/src/main/java/org/shoreusher/core/StoreSchema.java
@@ -81,13 +81,23 @@
         return "quota/" + team;
     }
 
-    /** A part's record. {@code done} holds the finished tasks of its first chunk of jobs. */
-    record PartRecord(String owner, long expiryMs, long term, Map<String, Object> done) {
+    /**
+     * A part's record. {@code done} holds the finished tasks of its first chunk of jobs.
+     *
+     * @param standby the process that knows every attempt that may be on a machine; null: none.
+     *     Versions before the warm standby drop the field when they take the part
+     */
+    record PartRecord(
+            String owner, long expiryMs, long term, Map<String, Object> done, String standby) {
         static PartRecord read(Map<String, Object> value) {
             try {
                 FieldMap t = new FieldMap(value);
                 return new PartRecord(
-                        t.text("owner"), t.whole("expiry"), t.whole("term"), t.map("done").asMap());
+                        t.text("owner"),
+                        t.whole("expiry"),
+                        t.whole("term"),
+                        t.map("done").asMap(),
+                        t.textOr("standby", null));
             } catch (FieldMap.Missing e) {
                 throw new IllegalStateException(
                         "a part record of this service can't be read: " + e.getMessage());
@@ -100,6 +110,9 @@
             m.put("expiry", expiryMs);
             m.put("term", term);
             m.put("done", done);
+            if (standby != null) {
+                m.put("standby", standby);
+            }
             return m;
         }
 
--- a/src/main/java/org/shoreusher/core/TaskStops.java
+++ b/src/main/java/org/shoreusher/core/TaskStops.java
@@ -24,7 +24,7 @@
                         .allMatch(job -> job.spec.shape().ends() || job.waitingCount == 0)) {
             return;
         }
-        List<Job> services = part.ordered();
+        List<Job> services = part.openJobs().ordered();
         services.removeIf(job -> job.spec.shape().ends());
         for (TaskAttempt live : new ReplicaPreemption(part, outbox.now).choose(services)) {
             live.mustStop = true;
@@ -40,7 +40,7 @@
             return;
         }
         nextPreemptMs = outbox.now.steadyMs() + Tuning.PREEMPT_EVERY_MS;
-        List<Job> ordered = part.ordered();
+        List<Job> ordered = part.openJobs().ordered();
         if (ordered.isEmpty()) {
             return;
         }
--- a/src/main/java/org/shoreusher/peer/Peers.java
+++ b/src/main/java/org/shoreusher/peer/Peers.java
@@ -24,11 +24,17 @@
 import org.shoreusher.core.Hint;
 import org.shoreusher.settings.Settings;
 import org.shoreusher.settings.Tuning;
+import org.shoreusher.standby.StandbyMessage;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
 
 /**
- * Tells the other controllers hints and hears theirs. A hint that can't be sent at once is dropped.
+ * Tells the other controllers hints, and hears theirs and messages of the warm standby. A hint that
+ * can't be sent at once is dropped.
  */
 public final class Peers {
+    private static final Logger LOG = LoggerFactory.getLogger("shoreusher");
+
     private final EventLoopGroup loop;
     private final Settings settings;
     private final Consumer<Command> core;
@@ -110,12 +116,22 @@
     private final class Hearer extends SimpleChannelInboundHandler<ByteBuf> {
         @Override
         protected void channelRead0(ChannelHandlerContext ctx, ByteBuf frame) {
-            Hint hint = codec.read(ByteBufUtil.getBytes(frame));
-            if (hint == null) {
+            Command command = command(ByteBufUtil.getBytes(frame));
+            if (command == null) {
+                LOG.info("peer: closed a connection with a message that is not understood");
                 ctx.close();
             } else {
-                core.accept(new Command.PeerHint(hint));
+                core.accept(command);
+            }
+        }
+
+        private Command command(byte[] bytes) {
+            if (bytes.length > 0 && StandbyCodec.marks(bytes[0])) {
+                StandbyMessage message = StandbyCodec.read(bytes);
+                return message == null ? null : new Command.FromPeer(message);
             }
+            Hint hint = codec.read(bytes);
+            return hint == null ? null : new Command.PeerHint(hint);
         }
 
         @Override
--- a/src/main/java/org/shoreusher/settings/FeaturesFile.java
+++ b/src/main/java/org/shoreusher/settings/FeaturesFile.java
@@ -9,6 +9,7 @@
 import java.util.stream.Collectors;
 import org.shoreusher.balance.BalanceSettings;
 import org.shoreusher.balance.BalanceSettings.ClassBudget;
+import org.shoreusher.standby.StandbySettings;
 import org.shoreusher.wire.FieldMap;
 
 /**
@@ -21,6 +22,20 @@
     private static final double LONGEST_COOLDOWN_S = 3_600;
     private static final double HIGHEST_GAIN = 100;
 
+    /** ms; below a few round trips and a resend every standby would be given up at once. */
+    private static final int SHORTEST_ACK_TIMEOUT_MS = 500;
+
+    /** ms; workers give up after 4 s, and the answer still has to reach them. */
+    private static final int LONGEST_ACK_TIMEOUT_MS = 3_000;
+
+    private static final int LONGEST_HEAD_START_MS = 5_000;
+    private static final int FEWEST_FRAME_RECORDS = 2;
+
+    /** records; names of 100 bytes each keep such a frame below the bound of a message. */
+    private static final int MOST_FRAME_RECORDS = 500;
+
+    private static final int MOST_ATTEMPTS = 1_000_000;
+
     private FeaturesFile() {}
 
     /** Reads and checks a file. */
@@ -46,7 +61,11 @@
         }
         FeatureSection all = new FeatureSection("", root.asMap());
         FeatureSection balance = all.section("balance");
-        Features features = new Features(balance == null ? null : balance(balance, settings));
+        FeatureSection standby = all.section("standby");
+        Features features =
+                new Features(
+                        balance == null ? null : balance(balance, settings),
+                        standby == null ? null : standby(standby));
         all.finish();
         return features;
     }
@@ -71,6 +90,28 @@
         return enabled ? balance : null;
     }
 
+    private static StandbySettings standby(FeatureSection section) throws Settings.Invalid {
+        StandbySettings usual = StandbySettings.DEFAULTS;
+        boolean enabled = section.flag("enabled", true);
+        StandbySettings standby =
+                new StandbySettings(
+                        section.whole(
+                                "ack_timeout_ms",
+                                SHORTEST_ACK_TIMEOUT_MS,
+                                LONGEST_ACK_TIMEOUT_MS,
+                                usual.ackTimeoutMs()),
+                        section.whole(
+                                "head_start_ms", 0, LONGEST_HEAD_START_MS, usual.headStartMs()),
+                        section.whole(
+                                "frame_records",
+                                FEWEST_FRAME_RECORDS,
+                                MOST_FRAME_RECORDS,
+                                usual.frameRecords()),
+                        section.whole("most_attempts", 0, MOST_ATTEMPTS, usual.mostAttempts()));
+        section.finish();
+        return enabled ? standby : null;
+    }
+
     private static ClassBudget budget(FeatureSection section, ClassBudget usual)
             throws Settings.Invalid {
         return new ClassBudget(
--- a/src/main/java/org/shoreusher/settings/Settings.java
+++ b/src/main/java/org/shoreusher/settings/Settings.java
@@ -48,8 +48,8 @@
         }
     }
 
-    /** Another controller. */
-    public record Member(String host, Address address) {}
+    /** Another controller; {@code zone} is empty if the file does not say. */
+    public record Member(String host, Address address, String zone) {}
 
     /**
      * A team's guarantee and limit. A limit that the file leaves out or gives as 0 is none, here
@@ -105,10 +105,17 @@
         }
     }
 
+    private static Member member(FieldMap m) throws FieldMap.Missing, Invalid {
+        return new Member(
+                m.text("host_name"),
+                address(m.text("peer_addr"), "peer_addr"),
+                m.textOr("zone", ""));
+    }
+
     private static Settings read(FieldMap root) throws FieldMap.Missing, Invalid {
         List<Member> members = new ArrayList<>();
         for (FieldMap m : root.list("members")) {
-            members.add(new Member(m.text("host_name"), address(m.text("peer_addr"), "peer_addr")));
+            members.add(member(m));
         }
         FieldMap ends = root.map("endpoints");
         FieldMap d = root.map("deployment");
--- /dev/null
+++ b/src/main/java/org/shoreusher/standby/AttemptTable.java
@@ -0,0 +1,76 @@
+package org.shoreusher.standby;
+
+import com.dynatrace.hash4j.hashing.HashStream64;
+import com.dynatrace.hash4j.hashing.Hashing;
+import it.unimi.dsi.fastutil.objects.Object2ObjectOpenHashMap;
+import java.util.ArrayList;
+import java.util.List;
+
+/**
+ * The attempts that may be on machines, with a digest of all of them that is kept up with every
+ * change: the sum of the attempts' 64-bit hashes, which does not depend on their order. XXH3 was as
+ * fast as any hash of its library on such records (docs/standby-design.md).
+ */
+public final class AttemptTable {
+    private final Object2ObjectOpenHashMap<AttemptId, Attempt> attempts =
+            new Object2ObjectOpenHashMap<>();
+    private final HashStream64 hasher = Hashing.xxh3_64().hashStream();
+    private long digest;
+
+    /** Adds an attempt; one with the same name is replaced. */
+    public void add(Attempt attempt) {
+        Attempt before = attempts.put(attempt.id(), attempt);
+        if (before != null) {
+            digest -= hash(before);
+        }
+        digest += hash(attempt);
+    }
+
+    /** Removes an attempt; one that is not there changes nothing. */
+    public void remove(AttemptId id) {
+        Attempt before = attempts.remove(id);
+        if (before != null) {
+            digest -= hash(before);
+        }
+    }
+
+    /** Whether an attempt is in the table. */
+    public boolean contains(AttemptId id) {
+        return attempts.containsKey(id);
+    }
+
+    /** How many attempts there are. */
+    public int size() {
+        return attempts.size();
+    }
+
+    /** A copy of all attempts, in no particular order. */
+    public List<Attempt> attempts() {
+        return new ArrayList<>(attempts.values());
+    }
+
+    /** What two tables must agree on to be held for equal. */
+    public Checkpoint checkpoint() {
+        return new Checkpoint(digest, attempts.size());
+    }
+
+    private long hash(Attempt attempt) {
+        return hasher.reset()
+                .putString(attempt.id().job())
+                .putInt(attempt.id().task())
+                .putLong(attempt.id().attempt())
+                .putString(attempt.machine())
+                .putString(attempt.team())
+                .putDouble(attempt.cpus())
+                .putDouble(attempt.gpus())
+                .putDouble(attempt.memGb())
+                .getAsLong();
+    }
+
+    /**
+     * Digest and size of a table at some point of the log.
+     *
+     * @param digest sum of the hashes of its attempts, modulo 2^64
+     */
+    public record Checkpoint(long digest, int size) {}
+}
--- /dev/null
+++ b/src/main/java/org/shoreusher/standby/LogFrame.java
@@ -0,0 +1,17 @@
+package org.shoreusher.standby;
+
+import java.util.List;
+
+/**
+ * Consecutive records of a stream, as many as one batch of the owner has made.
+ *
+ * @param first the sequence number of the first record; the stream begins with 1
+ */
+public record LogFrame(LogStream stream, long first, List<LogRecord> records)
+        implements StandbyMessage {
+
+    /** The sequence number of the last record. */
+    public long last() {
+        return first + records.size() - 1;
+    }
+}
--- /dev/null
+++ b/src/test/java/org/shoreusher/core/NamedStandbyTest.java
@@ -0,0 +1,40 @@
+package org.shoreusher.core;
+
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import net.jqwik.api.Example;
+
+/** Tests of what may stand in a part's record. */
+class NamedStandbyTest {
+    private static final String NAME = "node-1/b";
+
+    private final NamedStandby standby = new NamedStandby();
+
+    @Example
+    void aNameMayStandFromBeforeItsWriteUntilALaterVersionIsKnown() {
+        assertTrue(standby.surelyNone());
+        standby.want(NAME);
+        assertTrue(standby.surelyNone());
+        standby.sending(NAME);
+        assertFalse(standby.surelyNone());
+        // The answer is lost; the next write wants no name, and its answer is lost as well.
+        standby.want(null);
+        standby.sending(null);
+        assertFalse(standby.surelyNone());
+        standby.settled(null);
+        assertTrue(standby.surelyNone());
+    }
+
+    @Example
+    void aRecordReadAnewThatHoldsTheNameKeepsIt() {
+        standby.want(NAME);
+        standby.sending(NAME);
+        standby.want(null);
+        standby.settled(NAME);
+        assertFalse(standby.surelyNone());
+        assertFalse(standby.asWanted());
+        standby.want(NAME);
+        assertTrue(standby.asWanted());
+    }
+}
--- /dev/null
+++ b/src/test/java/org/shoreusher/model/KillPoint.java
@@ -0,0 +1,105 @@
+package org.shoreusher.model;
+
+import java.util.Map;
+import java.util.function.Predicate;
+import org.shoreusher.core.Effect;
+import org.shoreusher.core.Effect.StateOp;
+import org.shoreusher.core.Response;
+import org.shoreusher.core.WorkerOrder;
+import org.shoreusher.standby.LogFrame;
+import org.shoreusher.standby.LogRecord;
+
+/** Where an owner is killed, by the step that it is about to take or has just taken. */
+enum KillPoint {
+    /** A start is decided, and its frame is not yet sent. */
+    BEFORE_FRAME(false) {
+        @Override
+        boolean matches(Effect effect) {
+            return tellsStart(effect);
+        }
+    },
+    /** The frame is sent, and nothing after it. */
+    AFTER_FRAME(true) {
+        @Override
+        boolean matches(Effect effect) {
+            return tellsStart(effect);
+        }
+    },
+    /** The standby has acknowledged, and the answer is not yet sent. */
+    BEFORE_ANSWER(false) {
+        @Override
+        boolean matches(Effect effect) {
+            return isStart(effect);
+        }
+    },
+    /** The answer is sent, and nothing after it. */
+    AFTER_ANSWER(true) {
+        @Override
+        boolean matches(Effect effect) {
+            return isStart(effect);
+        }
+    },
+    /** The write that names the standby is not yet sent. */
+    BEFORE_NAMING(false) {
+        @Override
+        boolean matches(Effect effect) {
+            return names(effect);
+        }
+    },
+    /** The write that names the standby is sent. */
+    AFTER_NAMING(true) {
+        @Override
+        boolean matches(Effect effect) {
+            return names(effect);
+        }
+    },
+    /** A renewal of the lease is sent. */
+    AFTER_RENEWAL(true) {
+        @Override
+        boolean matches(Effect effect) {
+            return partRecord(effect) != null;
+        }
+    };
+
+    private final boolean after;
+
+    KillPoint(boolean after) {
+        this.after = after;
+    }
+
+    abstract boolean matches(Effect effect);
+
+    /** The effect before which the owner is to be killed. */
+    Predicate<Effect> predicate() {
+        boolean[] seen = {false};
+        return effect -> {
+            boolean due = seen[0];
+            seen[0] |= matches(effect);
+            return after ? due : seen[0];
+        };
+    }
+
+    private static boolean tellsStart(Effect effect) {
+        return effect instanceof Effect.SendToPeer send
+                && send.message() instanceof LogFrame frame
+                && frame.records().stream().anyMatch(r -> r instanceof LogRecord.Started);
+    }
+
+    static boolean isStart(Effect effect) {
+        return effect instanceof Effect.Answer answer
+                && answer.response() instanceof Response.Orders orders
+                && orders.orders().stream().anyMatch(o -> o.kind() == WorkerOrder.Kind.START);
+    }
+
+    /** The part's record that a call of the state service writes; null if it writes none. */
+    static Map<String, Object> partRecord(Effect effect) {
+        return effect instanceof Effect.StateCall call && call.op() instanceof StateOp.Multi multi
+                ? multi.writes().get("part/0")
+                : null;
+    }
+
+    private static boolean names(Effect effect) {
+        Map<String, Object> record = partRecord(effect);
+        return record != null && record.containsKey("standby");
+    }
+}
--- a/src/test/java/org/shoreusher/model/Rules.java
+++ b/src/test/java/org/shoreusher/model/Rules.java
@@ -24,6 +24,9 @@
 
     int starts;
 
+    /** Tasks that ran once more after they had completed. */
+    int startsAfterEnd;
+
     /** Tasks that began after their user had been told that the job is cancelled. */
     int startsAfterCancel;
 
@@ -40,6 +43,7 @@
     /** A task is on its machine from now on. */
     void on(WorkerModel machine, String task) {
         starts++;
+        startsAfterEnd += completed.contains(task) ? 1 : 0;
         String job = task.substring(0, task.indexOf('/'));
         UserModel.Wish w = world.users.wishes.get(job);
         if (w == null) {
--- /dev/null
+++ b/src/test/java/org/shoreusher/peer/StandbyCodecTest.java
@@ -0,0 +1,100 @@
+package org.shoreusher.peer;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertNull;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.List;
+import java.util.Map;
+import java.util.Random;
+import net.jqwik.api.Example;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.ShrinkingMode;
+import org.shoreusher.core.Hint;
+import org.shoreusher.settings.Tuning;
+import org.shoreusher.standby.Attempt;
+import org.shoreusher.standby.AttemptId;
+import org.shoreusher.standby.AttemptTable.Checkpoint;
+import org.shoreusher.standby.LogAcknowledgement;
+import org.shoreusher.standby.LogFrame;
+import org.shoreusher.standby.LogRecord;
+import org.shoreusher.standby.LogRecord.Checked;
+import org.shoreusher.standby.LogRecord.Ended;
+import org.shoreusher.standby.LogRecord.SnapshotBegin;
+import org.shoreusher.standby.LogRecord.SnapshotEnd;
+import org.shoreusher.standby.LogRecord.Started;
+import org.shoreusher.standby.LogStream;
+
+/** Tests of the warm standby's messages as bytes. */
+class StandbyCodecTest {
+    private static final LogStream STREAM = new LogStream(0, 9, "node-0/a", "node-1/b", 3);
+
+    private static LogFrame frame(int records, String name) {
+        List<LogRecord> list = new ArrayList<>();
+        list.add(new SnapshotBegin());
+        for (int i = 0; i < records; i++) {
+            AttemptId id = new AttemptId("wk-" + i % 7 + name, i, (9L << 24) + i);
+            list.add(new Started(new Attempt(id, "host-" + i + name, "team-" + i, 0.5, 1, 4.25)));
+            list.add(new Ended(id));
+        }
+        list.add(new SnapshotEnd(new Checkpoint(-5, 0)));
+        list.add(new Checked(new Checkpoint(Long.MIN_VALUE, 100_000)));
+        return new LogFrame(STREAM, 12, list);
+    }
+
+    @Example
+    void everyMessageIsReadAsItWasWritten() {
+        LogAcknowledgement refused = new LogAcknowledgement(STREAM, 0, false);
+        LogAcknowledgement accepted = new LogAcknowledgement(STREAM, 1L << 40, true);
+        assertEquals(frame(20, ""), StandbyCodec.read(StandbyCodec.write(frame(20, ""))));
+        assertEquals(refused, StandbyCodec.read(StandbyCodec.write(refused)));
+        assertEquals(accepted, StandbyCodec.read(StandbyCodec.write(accepted)));
+    }
+
+    /** The longest frame that settings allow, with names of 100 bytes. */
+    @Example
+    void theLongestFrameIsBelowTheBoundOfAMessage() {
+        byte[] bytes = StandbyCodec.write(frame(500, "x".repeat(100)));
+        assertTrue(bytes.length < Tuning.MAX_HINT, () -> "bytes " + bytes.length);
+    }
+
+    /** A version that knows hints only takes no such message for a hint, and this one no hint. */
+    @Example
+    void neitherIsTakenForTheOther() {
+        Hint hint = new Hint("node-0", 5, true, 1, Map.of(), Map.of(), Map.of(), Map.of());
+        byte[] hintBytes = new HintCodec().write(hint);
+        byte[] frameBytes = StandbyCodec.write(frame(3, ""));
+        assertFalse(StandbyCodec.marks(hintBytes[0]));
+        assertTrue(StandbyCodec.marks(frameBytes[0]));
+        assertNull(StandbyCodec.read(hintBytes));
+        assertNull(new HintCodec().read(frameBytes));
+    }
+
+    @Example
+    void otherFormsAndWhatIsCutOffAreRefused() {
+        byte[] good = StandbyCodec.write(frame(3, ""));
+        byte[] otherForm = good.clone();
+        otherForm[1]++;
+        assertNull(StandbyCodec.read(otherForm));
+        assertNull(StandbyCodec.read(Arrays.copyOf(good, good.length + 1)));
+        for (int length = 0; length < good.length; length++) {
+            assertNull(StandbyCodec.read(Arrays.copyOf(good, length)));
+        }
+    }
+
+    /** Bytes with errors are refused or read as some message; they do nothing else. */
+    @Property(tries = 2_000, seed = "17", shrinking = ShrinkingMode.OFF)
+    void bytesWithErrorsDoNoHarm(@ForAll long seed) {
+        Random random = new Random(seed);
+        byte[] bytes = StandbyCodec.write(frame(5, ""));
+        for (int i = 1 + random.nextInt(4); i > 0; i--) {
+            bytes[2 + random.nextInt(bytes.length - 2)] = (byte) random.nextInt();
+        }
+        Object read = StandbyCodec.read(bytes);
+        assertTrue(read == null || read instanceof LogFrame || read instanceof LogAcknowledgement);
+    }
+}
--- /dev/null
+++ b/src/test/java/org/shoreusher/standby/AttemptLogTest.java
@@ -0,0 +1,261 @@
+package org.shoreusher.standby;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertNotEquals;
+import static org.junit.jupiter.api.Assertions.assertNull;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Random;
+import net.jqwik.api.Example;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.ShrinkingMode;
+import org.shoreusher.standby.AttemptTable.Checkpoint;
+import org.shoreusher.standby.LogRecord.Checked;
+import org.shoreusher.standby.LogRecord.SnapshotBegin;
+import org.shoreusher.standby.LogRecord.Started;
+
+/** Tests of the log's two sides, joined by a network that repeats, loses and reorders. */
+class AttemptLogTest {
+    private static final String OWNER = "node-0/a";
+    private static final String STANDBY = "node-1/b";
+    private static final long TERM = 7;
+    private static final int FRAME_RECORDS = 4;
+    private static final int MOST = 1_000;
+    private static final int TIMEOUT_MS = 1_000;
+
+    private final AttemptLogSender sender = new AttemptLogSender(0, TERM, OWNER, FRAME_RECORDS);
+    private final AttemptLogReceiver receiver = new AttemptLogReceiver(MOST);
+    private long now = 1;
+
+    private static Attempt attempt(int task) {
+        AttemptId id = new AttemptId("wk-000001", task, (TERM << 24) + task);
+        return new Attempt(id, "host-" + task % 5, "team", 2, 0, 4);
+    }
+
+    /** Delivers frames and acknowledgements until nothing more is due. */
+    private void settle() {
+        for (LogFrame frame = sender.poll(now); frame != null; frame = sender.poll(now)) {
+            sender.acknowledged(receiver.receive(frame));
+        }
+    }
+
+    private PromotionOutcome outcome() {
+        return receiver.outcome(STANDBY, STANDBY, OWNER, TERM);
+    }
+
+    private LogStream stream(long term, long attachment) {
+        return new LogStream(0, term, OWNER, STANDBY, attachment);
+    }
+
+    @Example
+    void aSnapshotInSeveralFramesAndWhatHappensMeanwhileArriveWhole() {
+        for (int i = 0; i < 20; i++) {
+            sender.started(attempt(i));
+        }
+        sender.attach(STANDBY, now);
+        sender.acknowledged(receiver.receive(sender.poll(now)));
+        assertEquals(PromotionOutcome.INCOMPLETE, outcome());
+        assertEquals(0, sender.changesAcknowledged());
+        sender.started(attempt(100));
+        sender.ended(attempt(19).id());
+        sender.ended(attempt(0).id());
+        settle();
+        assertTrue(sender.snapshotAcknowledged());
+        assertEquals(sender.changes(), sender.changesAcknowledged());
+        assertEquals(PromotionOutcome.IN_SYNC, outcome());
+        assertEquals(19, receiver.attempts());
+    }
+
+    /** Whatever the network repeats, loses or delivers late, both tables end up the same. */
+    @Property(tries = 200, seed = "41", shrinking = ShrinkingMode.OFF)
+    void bothTablesAgreeOverABadNetwork(@ForAll long seed) {
+        Random random = new Random(seed);
+        List<LogFrame> frames = new ArrayList<>();
+        List<LogAcknowledgement> answers = new ArrayList<>();
+        sender.attach(STANDBY, now);
+        for (int step = 0; step < 400; step++) {
+            now += random.nextInt(150);
+            if (random.nextInt(3) > 0) {
+                sender.started(attempt(random.nextInt(60)));
+            } else {
+                sender.ended(attempt(random.nextInt(60)).id());
+            }
+            LogFrame frame = sender.poll(now);
+            if (frame != null) {
+                frames.add(frame);
+            }
+            if (!frames.isEmpty() && random.nextBoolean()) {
+                LogFrame arrived = frames.get(random.nextInt(frames.size()));
+                answers.add(receiver.receive(arrived));
+            }
+            if (!answers.isEmpty() && random.nextBoolean()) {
+                sender.acknowledged(answers.get(random.nextInt(answers.size())));
+            }
+        }
+        now += TIMEOUT_MS;
+        settle();
+        assertEquals(sender.changes(), sender.changesAcknowledged());
+        assertEquals(PromotionOutcome.IN_SYNC, outcome());
+        assertEquals(sender.attempts(), receiver.attempts());
+    }
+
+    @Example
+    void aFrameIsSentAgainAndASilentStandbyFails() {
+        sender.attach(STANDBY, now);
+        LogFrame first = sender.poll(now);
+        assertNull(sender.poll(now + 100));
+        assertEquals(first, sender.poll(now + 300));
+        assertFalse(sender.failed(now + TIMEOUT_MS, TIMEOUT_MS));
+        assertTrue(sender.failed(now + TIMEOUT_MS + 1, TIMEOUT_MS));
+    }
+
+    @Example
+    void aStandbyThatFallsFarBehindFails() {
+        sender.attach(STANDBY, now);
+        sender.poll(now);
+        for (int i = 0; i < 40 * FRAME_RECORDS; i++) {
+            sender.started(attempt(i));
+        }
+        assertFalse(sender.failed(now, TIMEOUT_MS));
+        sender.started(attempt(500));
+        assertTrue(sender.failed(now, TIMEOUT_MS));
+    }
+
+    @Example
+    void aCheckpointTravelsEverySecond() {
+        sender.attach(STANDBY, now);
+        settle();
+        assertNull(sender.poll(now + 999));
+        LogFrame checked = sender.poll(now + 1_000);
+        assertTrue(checked.records().get(0) instanceof Checked);
+        assertTrue(receiver.receive(checked).accepted());
+    }
+
+    @Example
+    void aGapPutsTheStandbyOutOfSync() {
+        receiver.receive(new LogFrame(stream(TERM, 1), 1, List.of(new SnapshotBegin())));
+        LogFrame third = new LogFrame(stream(TERM, 1), 3, List.of(new Started(attempt(1))));
+        assertFalse(receiver.receive(third).accepted());
+        assertEquals(PromotionOutcome.BROKEN, outcome());
+        LogFrame second = new LogFrame(stream(TERM, 1), 2, List.of(new Started(attempt(1))));
+        assertFalse(receiver.receive(second).accepted());
+    }
+
+    @Example
+    void aStreamThatDoesNotBeginWithASnapshotIsRefused() {
+        LogFrame started = new LogFrame(stream(TERM, 1), 1, List.of(new Started(attempt(1))));
+        assertFalse(receiver.receive(started).accepted());
+    }
+
+    @Example
+    void aCheckpointThatDiffersPutsTheStandbyOutOfSync() {
+        sender.attach(STANDBY, now);
+        settle();
+        assertEquals(PromotionOutcome.IN_SYNC, outcome());
+        LogRecord wrong = new Checked(new Checkpoint(1, 0));
+        assertFalse(receiver.receive(new LogFrame(stream(TERM, 1), 3, List.of(wrong))).accepted());
+        assertEquals(PromotionOutcome.BROKEN, outcome());
+    }
+
+    @Example
+    void tooManyAttemptsPutTheStandbyOutOfSync() {
+        AttemptLogReceiver small = new AttemptLogReceiver(2);
+        List<LogRecord> records = new ArrayList<>(List.of(new SnapshotBegin()));
+        for (int i = 0; i < 3; i++) {
+            records.add(new Started(attempt(i)));
+        }
+        assertFalse(small.receive(new LogFrame(stream(TERM, 1), 1, records)).accepted());
+    }
+
+    /** Frames of a term or stream that has been replaced change nothing, and get no answer. */
+    @Example
+    void framesOfFormerStreamsChangeNothing() {
+        LogFrame former = new LogFrame(stream(TERM, 1), 1, List.of(new SnapshotBegin()));
+        LogFrame next = new LogFrame(stream(TERM, 2), 1, List.of(new SnapshotBegin()));
+        LogFrame later = new LogFrame(stream(TERM + 1, 1), 1, List.of(new SnapshotBegin()));
+        assertTrue(receiver.receive(former).accepted());
+        assertTrue(receiver.receive(next).accepted());
+        assertNull(receiver.receive(former));
+        assertTrue(receiver.receive(later).accepted());
+        assertNull(receiver.receive(next));
+        assertEquals(PromotionOutcome.OTHER_TERM, outcome());
+    }
+
+    /** Acknowledgements of a former stream, or of records that came before, are void. */
+    @Example
+    void acknowledgementsOfFormerStreamsChangeNothing() {
+        sender.started(attempt(1));
+        sender.attach(STANDBY, now);
+        LogAcknowledgement former = receiver.receive(sender.poll(now));
+        sender.attach(STANDBY, now);
+        sender.poll(now);
+        sender.acknowledged(former);
+        assertFalse(sender.snapshotAcknowledged());
+        sender.acknowledged(new LogAcknowledgement(former.stream(), 3, false));
+        assertFalse(sender.failed(now, TIMEOUT_MS));
+        assertEquals(0, sender.changesAcknowledged());
+    }
+
+    @Example
+    void onlyTheNamedProcessWithTheWholeLogOfThatTermIsPromoted() {
+        assertEquals(PromotionOutcome.NO_LOG, outcome());
+        sender.started(attempt(1));
+        sender.attach(STANDBY, now);
+        settle();
+        assertEquals(PromotionOutcome.IN_SYNC, outcome());
+        assertEquals(
+                PromotionOutcome.NOT_NAMED, receiver.outcome(STANDBY, "node-1/c", OWNER, TERM));
+        assertEquals(PromotionOutcome.NOT_NAMED, receiver.outcome(STANDBY, null, OWNER, TERM));
+        assertEquals(
+                PromotionOutcome.OTHER_TERM, receiver.outcome(STANDBY, STANDBY, OWNER, TERM + 1));
+        assertEquals(
+                PromotionOutcome.OTHER_TERM, receiver.outcome(STANDBY, STANDBY, "node-2/d", TERM));
+        assertEquals(List.of(attempt(1)), receiver.takeTable().attempts());
+        assertEquals(PromotionOutcome.BROKEN, outcome());
+    }
+
+    @Example
+    void theDigestTellsTablesApartAndNotTheirOrder() {
+        AttemptTable one = new AttemptTable();
+        AttemptTable two = new AttemptTable();
+        for (int i = 0; i < 9; i++) {
+            one.add(attempt(i));
+            two.add(attempt(8 - i));
+        }
+        assertEquals(one.checkpoint(), two.checkpoint());
+        two.remove(attempt(3).id());
+        assertNotEquals(one.checkpoint(), two.checkpoint());
+        two.add(new Attempt(attempt(3).id(), "host-9", "team", 2, 0, 4));
+        assertNotEquals(one.checkpoint(), two.checkpoint());
+        two.add(attempt(3));
+        assertEquals(one.checkpoint(), two.checkpoint());
+    }
+
+    @Example
+    void anotherZoneComesFirstAndPausesGrowUntilOneStands() {
+        StandbyChooser chooser = new StandbyChooser("a");
+        StandbyChooser.Candidate near = new StandbyChooser.Candidate("node-1/x", "a");
+        StandbyChooser.Candidate far = new StandbyChooser.Candidate("node-2/y", "b");
+        List<StandbyChooser.Candidate> both = List.of(near, far);
+        assertEquals(far, chooser.choose(both, 0));
+        chooser.failed(far.process(), 0);
+        assertNull(chooser.choose(both, 999));
+        assertEquals(near, chooser.choose(both, 1_000));
+        chooser.failed(near.process(), 1_000);
+        assertNull(chooser.choose(both, 2_999));
+        assertEquals(far, chooser.choose(both, 3_000));
+        for (int i = 0; i < 20; i++) {
+            chooser.failed(near.process(), 0);
+        }
+        assertNull(chooser.choose(both, 59_999));
+        assertEquals(far, chooser.choose(both, 60_000));
+        chooser.standing(60_000);
+        chooser.failed(far.process(), 0);
+        assertEquals(near, chooser.choose(both, 1_000));
+        assertNull(chooser.choose(List.of(), 1_000));
+    }
+}
