--- a/src/main/java/org/shoreusher/cli/Main.java
+++ b/src/main/java/org/shoreusher/cli/Main.java
@@ -4,6 +4,7 @@
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Path;
 import java.security.SecureRandom;
+import java.util.Arrays;
 import java.util.HexFormat;
 import java.util.Locale;
 import org.apache.commons.cli.CommandLine;
@@ -12,6 +13,7 @@
 import org.apache.commons.cli.Option;
 import org.apache.commons.cli.Options;
 import org.apache.commons.cli.ParseException;
+import org.shoreusher.measure.Measurements;
 import org.shoreusher.settings.Features;
 import org.shoreusher.settings.FeaturesFile;
 import org.shoreusher.settings.Settings;
@@ -22,6 +24,7 @@
  * hold, and reading it from its jar took a third of the start-up of a small machine.
  */
 public final class Main {
+    private static final String MEASURE = "measure";
     private static final int USAGE = 2;
     private static final int UNUSABLE = 1;
 
@@ -61,6 +64,9 @@
     }
 
     private static int run(String[] args) {
+        if (args.length > 0 && args[0].equals(MEASURE)) {
+            return measure(Arrays.copyOfRange(args, 1, args.length));
+        }
         CommandLine line;
         try {
             line = new DefaultParser().parse(options(), args);
@@ -104,6 +110,14 @@
         return serve(settings, features, level);
     }
 
+    private static int measure(String[] words) {
+        try {
+            return Measurements.run(words);
+        } catch (Exception e) {
+            return complain("cannot measure: " + e.getMessage(), UNUSABLE);
+        }
+    }
+
     private static int serve(Settings settings, Features features, String level) {
         System.setProperty("org.slf4j.simpleLogger.log.shoreusher", level);
         System.setProperty("org.slf4j.simpleLogger.defaultLogLevel", "error");
@@ -146,7 +160,8 @@
                 options(),
                 HelpFormatter.DEFAULT_LEFT_PAD,
                 HelpFormatter.DEFAULT_DESC_PAD,
-                "LOG_LEVEL=error|info|debug sets how much is logged to standard error (info).");
+                "LOG_LEVEL=error|info|debug sets how much is logged to standard error (info).\n\n"
+                        + Measurements.HELP);
         out.flush();
     }
 
--- a/src/main/java/org/shoreusher/cli/Service.java
+++ b/src/main/java/org/shoreusher/cli/Service.java
@@ -77,7 +77,7 @@
                     Tuning.LATENCY_LINE_S,
                     TimeUnit.SECONDS);
             loop.scheduleAtFixedRate(
-                    () -> LOG.debug(ProcessStatus.line(front.connections())),
+                    this::logStatus,
                     Tuning.STATUS_LINE_MS,
                     Tuning.STATUS_LINE_MS,
                     TimeUnit.MILLISECONDS);
@@ -90,6 +90,14 @@
         group.shutdownGracefully(0, 0, TimeUnit.MILLISECONDS);
     }
 
+    private void logStatus() {
+        LOG.debug(ProcessStatus.line(front.connections()));
+        String sent = standbyLines.sent();
+        if (sent != null) {
+            LOG.debug(sent);
+        }
+    }
+
     private void tick() {
         long now = steadyMs();
         lateMs = Math.max(0, now - tickedAtMs - Tuning.TICK_MS);
--- a/src/main/java/org/shoreusher/core/AttemptReplication.java
+++ b/src/main/java/org/shoreusher/core/AttemptReplication.java
@@ -4,6 +4,8 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import org.HdrHistogram.Histogram;
+import org.shoreusher.settings.Tuning;
 import org.shoreusher.standby.Attempt;
 import org.shoreusher.standby.AttemptId;
 import org.shoreusher.standby.AttemptLogSender;
@@ -24,6 +26,10 @@
  * starts.
  */
 final class AttemptReplication implements ResourceLedger.Listener {
+    /** ms; longer times count as this. */
+    private static final long LONGEST_HELD_MS = 10_000;
+
+    /** How far the owner and a standby have come. */
     private enum Phase {
         /** There is no standby; starts leave at once. */
         ALONE,
@@ -56,6 +62,10 @@
     private Phase phase = Phase.ALONE;
     private long confirmChange;
     private long namedAtMs;
+    private long nextLineMs;
+
+    /** ms for which answers with starts were held since the last line about them. */
+    private final Histogram heldMs = new Histogram(LONGEST_HELD_MS, 2);
 
     AttemptReplication(
             Part part, NodeContext context, Part.Others others, PartOwnership ownership) {
@@ -174,6 +184,7 @@
                 continue;
             }
             held.remove(e.getKey());
+            heldMs.recordValue(Math.min(LONGEST_HELD_MS, nowMs() - answer.sinceMs));
             // Time has passed since the starts were decided: the lease, the view and the job are
             // looked at again.
             if (part.mayAnswer()) {
@@ -238,6 +249,26 @@
             String host = LogStream.hostOf(frame.stream().standby());
             outbox.add(new Effect.SendToPeer(host, frame));
         }
+        if (nowMs() >= nextLineMs) {
+            nextLineMs = nowMs() + Tuning.STATUS_LINE_MS;
+            line();
+        }
+    }
+
+    private void line() {
+        outbox.detail(
+                "standby: held "
+                        + heldMs.getTotalCount()
+                        + " answers with starts, median "
+                        + heldMs.getValueAtPercentile(50)
+                        + " ms, 99% "
+                        + heldMs.getValueAtPercentile(99)
+                        + " ms, most "
+                        + heldMs.getMaxValue()
+                        + " ms; "
+                        + sender.attempts()
+                        + " attempts in the log");
+        heldMs.reset();
     }
 
     private long nowMs() {
--- a/src/main/java/org/shoreusher/core/Parts.java
+++ b/src/main/java/org/shoreusher/core/Parts.java
@@ -232,7 +232,6 @@
         StoreView.Entry counter = view.get(StoreSchema.TERM);
         long term = 1 + (counter == null ? 0 : ((Number) counter.value().get("term")).longValue());
         ClockReading sentAt = outbox.now;
-        String named = before == null ? null : before.standby();
         AttemptReplicas.Fence replaced = replicas.fence(n);
         PartRecord record =
                 new PartRecord(
@@ -255,43 +254,41 @@
                             taking = false;
                             if (reply.status() == 200) {
                                 long revision = view.applied(reply, writes);
-                                nextTakeMs = outbox.now.steadyMs();
-                                outbox.log(
-                                        "takeover: part "
-                                                + n
-                                                + " term "
-                                                + term
-                                                + (before == null
-                                                        ? ", new"
-                                                        : " from " + before.owner()));
                                 PartOwnership ownership =
                                         new PartOwnership(
                                                 n, settings, outbox, view, record, sentAt,
                                                 revision);
-                                Inheritance inheritance =
-                                        new Inheritance(
-                                                replicas.promoted(n, named, replaced),
-                                                outcome -> replicas.count(n, outcome));
-                                owned[n] =
-                                        new Part(
-                                                n,
-                                                owned.length,
-                                                context,
-                                                peers,
-                                                ownership,
-                                                inheritance);
+                                taken(n, before, replaced, ownership);
                             } else if (reply.status() == 409) {
                                 // Another took this part, or counted the term up for a different
                                 // one.
                                 nextTakeMs = outbox.now.steadyMs() + Tuning.TAKE_AGAIN_MS;
-                            } else {
+                            } else if (before != null && before.standby() != null) {
                                 // In an outage the named standby has had no chance either: its head
                                 // start begins anew.
-                                freeSinceMs[n] = named == null ? freeSinceMs[n] : 0;
+                                freeSinceMs[n] = 0;
                             }
                         });
     }
 
+    /** This node has a part from now on. */
+    private void taken(
+            int n, PartRecord before, AttemptReplicas.Fence replaced, PartOwnership ownership) {
+        nextTakeMs = outbox.now.steadyMs();
+        outbox.log(
+                "takeover: part "
+                        + n
+                        + " term "
+                        + ownership.term()
+                        + (before == null ? ", new" : " from " + before.owner()));
+        String named = before == null ? null : before.standby();
+        Inheritance inheritance =
+                new Inheritance(
+                        replicas.promoted(n, named, replaced),
+                        outcome -> replicas.count(n, outcome));
+        owned[n] = new Part(n, owned.length, context, peers, ownership, inheritance);
+    }
+
     /** The view shows a new record of a part. */
     void recordChanged(int n, PartRecord record) {
         Part part = owned(n);
--- a/src/main/java/org/shoreusher/measure/BalanceMeasurement.java
+++ b/src/main/java/org/shoreusher/measure/BalanceMeasurement.java
@@ -8,9 +8,7 @@
 import java.util.Map;
 import org.HdrHistogram.Histogram;
 import org.apache.commons.cli.CommandLine;
-import org.apache.commons.cli.DefaultParser;
 import org.apache.commons.cli.Options;
-import org.apache.commons.cli.ParseException;
 import org.shoreusher.balance.BalanceSettings;
 import org.shoreusher.standin.CloudStandIn;
 import org.shoreusher.standin.JobProfile;
@@ -18,13 +16,19 @@
 
 /**
  * Measures the balancer on an evening on which one team's load doubles, against stand-ins in real
- * time. Exits with 1 if a task was on two machines at once, and with the feature on also if the
- * spread stays above the margin for too long or more work is repeated than the budget allows.
- *
- * <p>{@code java -cp target/shoreusher.jar org.shoreusher.measure.BalanceMeasurement --machines 60
- * --seed 1 --on}
+ * time. Fails if a task was on two machines at once, and with the feature on also if the spread
+ * stays above the margin for too long or more work is repeated than the budget allows.
  */
-public final class BalanceMeasurement {
+final class BalanceMeasurement {
+    static final Options OPTIONS =
+            new Options()
+                    .addOption("m", "machines", true, "machines, default 60")
+                    .addOption("s", "seed", true, "seed of the load, default 1")
+                    .addOption("t", "seconds", true, "length, default 240")
+                    .addOption("o", "on", false, "with the feature on");
+
+    private static final int MOST_MACHINES = 4_000;
+    private static final int MOST_SECONDS = 3_600;
     private static final double CPUS = 8;
     private static final double FETCH_GB_PER_S = 0.5;
     private static final double REPORT_S = 0.8;
@@ -58,30 +62,16 @@
     }
 
     /** Runs the measurement. */
-    public static void main(String[] args) throws Exception {
-        Options options =
-                new Options()
-                        .addOption("m", "machines", true, "machines, default 60")
-                        .addOption("s", "seed", true, "seed of the load, default 1")
-                        .addOption("t", "seconds", true, "length, default 240")
-                        .addOption("o", "on", false, "with the feature on");
-        int code = 0;
-        try {
-            CommandLine line = new DefaultParser().parse(options, args);
-            new BalanceMeasurement(
-                            Integer.parseInt(line.getOptionValue("machines", "60")),
-                            Integer.parseInt(line.getOptionValue("seed", "1")),
-                            line.hasOption("on"),
-                            Integer.parseInt(line.getOptionValue("seconds", "240")))
-                    .run();
-        } catch (ParseException | NumberFormatException | IllegalStateException e) {
-            System.err.println("measurement failed: " + e.getMessage());
-            code = 1;
-        }
-        System.exit(code);
+    static void run(CommandLine line) throws Exception {
+        new BalanceMeasurement(
+                        Measurements.whole(line, "machines", 1, MOST_MACHINES, 60),
+                        Measurements.whole(line, "seed", 0, Integer.MAX_VALUE, 1),
+                        line.hasOption("on"),
+                        Measurements.whole(line, "seconds", 1, MOST_SECONDS, 240))
+                .play();
     }
 
-    private void run() throws Exception {
+    private void play() throws Exception {
         Path features = Files.createTempFile("features", ".toml");
         Files.writeString(features, FEATURE);
         Cluster.Shape shape =
--- a/src/main/java/org/shoreusher/measure/Cluster.java
+++ b/src/main/java/org/shoreusher/measure/Cluster.java
@@ -126,6 +126,21 @@
                 });
     }
 
+    /** Whether any controller says that the job is done. */
+    boolean done(String job) {
+        return clients.stream().anyMatch(client -> done(client, job));
+    }
+
+    private static boolean done(ControllerClient client, String job) {
+        try {
+            ControllerClient.Reply reply = client.call("/v2/runs/" + job, null);
+            return reply.status() == 200 && "done".equals(reply.body().get("status"));
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+            return false;
+        }
+    }
+
     /** Waits for something that is to happen within some seconds; fails if it does not. */
     static void await(String what, double withinS, BooleanSupplier condition)
             throws InterruptedException {
--- a/src/main/java/org/shoreusher/measure/ClusterSettings.java
+++ b/src/main/java/org/shoreusher/measure/ClusterSettings.java
@@ -27,10 +27,9 @@
     /** The settings of one controller. */
     static String json(Cluster.Shape shape, String host, Cluster cluster) {
         List<String> zones = shape.offer().zones();
-        int index = List.copyOf(cluster.fronts().keySet()).indexOf(host);
         return FORM.formatted(
                 host,
-                zones.get(index % zones.size()),
+                zone(shape, host, cluster),
                 cluster.fronts().get(host),
                 cluster.backs().get(host),
                 members(shape, host, cluster),
@@ -44,6 +43,11 @@
                 (int) (shape.machines() * SOCKETS_PER_MACHINE) + OTHER_SOCKETS);
     }
 
+    private static String zone(Cluster.Shape shape, String host, Cluster cluster) {
+        List<String> zones = shape.offer().zones();
+        return zones.get(List.copyOf(cluster.fronts().keySet()).indexOf(host) % zones.size());
+    }
+
     private static String members(Cluster.Shape shape, String host, Cluster cluster) {
         return cluster.backs().entrySet().stream()
                 .filter(e -> !e.getKey().equals(host))
@@ -52,7 +56,7 @@
                                 "{\"host_name\":\"%s\",\"zone\":\"%s\",\"peer_addr\":\"%s\"}"
                                         .formatted(
                                                 e.getKey(),
-                                                shape.offer().zones().get(0),
+                                                zone(shape, e.getKey(), cluster),
                                                 e.getValue()))
                 .collect(Collectors.joining(","));
     }
--- a/src/main/java/org/shoreusher/measure/FleetMeasurement.java
+++ b/src/main/java/org/shoreusher/measure/FleetMeasurement.java
@@ -4,20 +4,23 @@
 import java.util.Locale;
 import java.util.Map;
 import org.apache.commons.cli.CommandLine;
-import org.apache.commons.cli.DefaultParser;
 import org.apache.commons.cli.Options;
-import org.apache.commons.cli.ParseException;
 import org.shoreusher.standin.CloudStandIn;
 import org.shoreusher.standin.JobProfile;
 
 /**
  * Measures controllers with thousands of workers: how long until all run a task, what memory and
  * processor time the owner takes, and how long a taker needs to know all machines again after the
- * owner was killed. Exits with 1 if a step fails or a task was on two machines at once.
- *
- * <p>{@code java -cp target/shoreusher.jar org.shoreusher.measure.FleetMeasurement --machines 4000}
+ * owner was killed. Fails if a step fails or a task was on two machines at once.
  */
-public final class FleetMeasurement {
+final class FleetMeasurement {
+    static final Options OPTIONS =
+            new Options()
+                    .addOption("m", "machines", true, "machines, default 4000")
+                    .addOption("t", "tasks", true, "tasks on each machine, default 1");
+
+    private static final int MOST_MACHINES = 4_000;
+    private static final int MOST_TASKS = 100;
     private static final int TASKS_OF_JOB = 500;
     private static final int TAKEOVERS = 2;
     private static final double CPUS = 4;
@@ -31,22 +34,10 @@
     private FleetMeasurement() {}
 
     /** Runs the measurement. */
-    public static void main(String[] args) throws Exception {
-        Options options =
-                new Options()
-                        .addOption("m", "machines", true, "machines, default 4000")
-                        .addOption("t", "tasks", true, "tasks on each machine, default 1");
-        int code = 0;
-        try {
-            CommandLine line = new DefaultParser().parse(options, args);
-            measure(
-                    Integer.parseInt(line.getOptionValue("machines", "4000")),
-                    Integer.parseInt(line.getOptionValue("tasks", "1")));
-        } catch (ParseException | NumberFormatException | IllegalStateException e) {
-            System.err.println("measurement failed: " + e.getMessage());
-            code = 1;
-        }
-        System.exit(code);
+    static void run(CommandLine line) throws Exception {
+        measure(
+                Measurements.whole(line, "machines", 1, MOST_MACHINES, MOST_MACHINES),
+                Measurements.whole(line, "tasks", 1, MOST_TASKS, 1));
     }
 
     private static void measure(int machines, int tasksEach) throws Exception {
--- /dev/null
+++ b/src/main/java/org/shoreusher/measure/Measurements.java
@@ -0,0 +1,116 @@
+package org.shoreusher.measure;
+
+import java.util.Arrays;
+import org.apache.commons.cli.CommandLine;
+import org.apache.commons.cli.DefaultParser;
+import org.apache.commons.cli.Options;
+import org.apache.commons.cli.ParseException;
+
+/**
+ * The measurements, as a subcommand of the program. Each runs whole controllers with the flags of
+ * the deploy file on loopback, from the repository's root, and takes minutes.
+ */
+public final class Measurements {
+    private static final int FAILED = 1;
+    private static final int USAGE = 2;
+
+    /** The help text. */
+    public static final String HELP =
+            """
+            usage: shoreusher measure NAME [options], from the repository's root, after a build
+              takeover  --machines N --kills K --silent SHARE --seed S
+                        time without starts when owners are killed, with and without standby
+              fleet     --machines N --tasks N
+                        memory, processor and rebuilds with thousands of workers
+              balance   --machines N --seed S --seconds N --on
+                        an evening on which one team's load doubles
+            Exits with 1 when something that must not happen did.\
+            """;
+
+    private Measurements() {}
+
+    /** Runs the measurement that the first word names; returns the program's exit code. */
+    public static int run(String[] words) throws Exception {
+        if (words.length == 0 || words[0].equals("--help") || words[0].equals("-h")) {
+            System.out.println(HELP);
+            return words.length == 0 ? USAGE : 0;
+        }
+        String[] rest = Arrays.copyOfRange(words, 1, words.length);
+        try {
+            switch (words[0]) {
+                case "takeover" ->
+                        TakeoverMeasurement.run(parse(TakeoverMeasurement.OPTIONS, rest));
+                case "fleet" -> FleetMeasurement.run(parse(FleetMeasurement.OPTIONS, rest));
+                case "balance" -> BalanceMeasurement.run(parse(BalanceMeasurement.OPTIONS, rest));
+                default -> {
+                    System.err.println(
+                            "shoreusher: no measurement "
+                                    + words[0]
+                                    + "; allowed are takeover, fleet, balance");
+                    return USAGE;
+                }
+            }
+        } catch (ParseException e) {
+            System.err.println("shoreusher: " + e.getMessage() + "; see measure --help");
+            return USAGE;
+        } catch (BadOption e) {
+            System.err.println("shoreusher: " + e.getMessage());
+            return FAILED;
+        } catch (IllegalStateException e) {
+            System.err.println("measurement failed: " + e.getMessage());
+            return FAILED;
+        }
+        return 0;
+    }
+
+    private static CommandLine parse(Options options, String[] words) throws ParseException {
+        CommandLine line = new DefaultParser().parse(options, words);
+        if (!line.getArgList().isEmpty()) {
+            throw new ParseException("unexpected: " + line.getArgList().get(0));
+        }
+        return line;
+    }
+
+    /** An option with a value that is not allowed; the message names both. */
+    static final class BadOption extends Exception {
+        private static final long serialVersionUID = 1;
+
+        BadOption(String message) {
+            super(message);
+        }
+    }
+
+    /** The value of an option, a whole number within bounds. */
+    static int whole(CommandLine line, String option, int least, int most, int otherwise)
+            throws BadOption {
+        double value = number(line, option, least, most, otherwise);
+        if (value != Math.rint(value)) {
+            throw new BadOption("--" + option + " must be a whole number");
+        }
+        return (int) value;
+    }
+
+    /** The value of an option, a number within bounds. */
+    static double number(
+            CommandLine line, String option, double least, double most, double otherwise)
+            throws BadOption {
+        String text = line.getOptionValue(option);
+        if (text == null) {
+            return otherwise;
+        }
+        try {
+            double value = Double.parseDouble(text);
+            if (value >= least && value <= most) {
+                return value;
+            }
+        } catch (NumberFormatException e) {
+            // Told below, like a number out of bounds.
+        }
+        throw new BadOption(
+                "--" + option + " must be a number from " + text(least) + " to " + text(most));
+    }
+
+    private static String text(double bound) {
+        return bound == Math.rint(bound) ? String.valueOf((long) bound) : String.valueOf(bound);
+    }
+}
--- /dev/null
+++ b/src/main/java/org/shoreusher/measure/TakeoverFigures.java
@@ -0,0 +1,53 @@
+package org.shoreusher.measure;
+
+import java.util.Locale;
+import java.util.Map;
+import java.util.TreeMap;
+import org.HdrHistogram.Histogram;
+
+/** What the takeovers of one setting took, in ms, and how they came out. */
+final class TakeoverFigures {
+    private static final long LONGEST_MS = 600_000;
+    private static final int DIGITS = 3;
+
+    private final Histogram toTakeover = new Histogram(LONGEST_MS, DIGITS);
+    private final Histogram toFirstStart = new Histogram(LONGEST_MS, DIGITS);
+    private final Histogram toAllPlaced = new Histogram(LONGEST_MS, DIGITS);
+    private final Map<String, Integer> outcomes = new TreeMap<>();
+
+    /**
+     * One takeover.
+     *
+     * @param takeoverMs from the kill to the takeover
+     * @param firstStartMs from the takeover to the first task that began
+     * @param allPlacedMs from the takeover until as many tasks ran as before the kill
+     */
+    void add(long takeoverMs, long firstStartMs, long allPlacedMs, String outcome) {
+        toTakeover.recordValue(takeoverMs);
+        toFirstStart.recordValue(firstStartMs);
+        toAllPlaced.recordValue(allPlacedMs);
+        outcomes.merge(outcome, 1, Integer::sum);
+    }
+
+    int times(String outcome) {
+        return outcomes.getOrDefault(outcome, 0);
+    }
+
+    void print(String setting) {
+        System.out.println(setting + ": " + toTakeover.getTotalCount() + " kills, " + outcomes);
+        print("kill to takeover", toTakeover);
+        print("takeover to first start", toFirstStart);
+        print("takeover to all placed", toAllPlaced);
+    }
+
+    private static void print(String what, Histogram histogram) {
+        System.out.println(
+                String.format(
+                        Locale.ROOT,
+                        "  %-24s median %6d ms, 95%% %6d ms, worst %6d ms",
+                        what,
+                        histogram.getValueAtPercentile(50),
+                        histogram.getValueAtPercentile(95),
+                        histogram.getMaxValue()));
+    }
+}
--- /dev/null
+++ b/src/main/java/org/shoreusher/measure/TakeoverMeasurement.java
@@ -0,0 +1,305 @@
+package org.shoreusher.measure;
+
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.Collections;
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+import java.util.Random;
+import org.apache.commons.cli.CommandLine;
+import org.apache.commons.cli.Options;
+import org.shoreusher.standin.CloudStandIn;
+import org.shoreusher.standin.JobProfile;
+import org.shoreusher.standin.WorkerStandIn;
+
+/**
+ * Measures how long nothing starts when the active controller is killed, with the warm standby off
+ * and on, all machines heard and a share of them silent. Fails if a task was on two machines at
+ * once, a job was not done at the end, a controller ended by itself, or no standby was promoted.
+ */
+final class TakeoverMeasurement {
+    static final Options OPTIONS =
+            new Options()
+                    .addOption("m", "machines", true, "machines, default 400")
+                    .addOption("k", "kills", true, "kills in each setting, default 5")
+                    .addOption("q", "silent", true, "share of silent machines, default 0.1")
+                    .addOption("s", "seed", true, "seed of the moments, default 1");
+
+    private static final int MOST_MACHINES = 4_000;
+    private static final int MOST_KILLS = 1_000;
+    private static final double CPUS = 4;
+    private static final double TASK_CPUS = 2;
+
+    /** Share of all CPUs that the team may use; it is always at that limit. */
+    private static final double TEAM_SHARE = 0.85;
+
+    private static final double REPORT_S = 5;
+    private static final double LEASE_S = 26.5;
+    private static final double RUN_S = 12;
+
+    /** Jobs that the running tasks belong to, so that some end at any time. */
+    private static final int JOBS_AT_ONCE = 20;
+
+    /** Waiting tasks, as a share of those that run. */
+    private static final double BACKLOG = 0.6;
+
+    /** Tasks that end are replaced with their machine's next report, so a few always lack. */
+    private static final double PLACED_SHARE = 0.95;
+
+    /** Within the workers' leases, so that no task is lost by the silence itself. */
+    private static final long SILENT_MS = 20_000;
+
+    private static final double PATIENCE_S = 180;
+    private static final long POLL_MS = 20;
+    private static final long WARM_UP_MS = 15_000;
+    private static final long STEADY_MS = 20_000;
+    private static final int LONGEST_WAIT_MS = 3_000;
+    private static final String IN_SYNC = "in sync";
+    private static final String FEATURE = "[standby]\nenabled = true\n";
+
+    private final int machines;
+    private final int kills;
+    private final Random random;
+    private final boolean standby;
+    private final double silentShare;
+    private final TakeoverFigures figures = new TakeoverFigures();
+    private final List<JobRequest> jobs = new ArrayList<>();
+    private int submitted;
+
+    private TakeoverMeasurement(
+            int machines, int kills, long seed, boolean standby, double silentShare) {
+        this.machines = machines;
+        this.kills = kills;
+        this.standby = standby;
+        this.silentShare = silentShare;
+        random = new Random(seed);
+    }
+
+    /** Runs all four settings, one after the other. */
+    static void run(CommandLine line) throws Exception {
+        int machines = Measurements.whole(line, "machines", 4, MOST_MACHINES, 400);
+        int kills = Measurements.whole(line, "kills", 1, MOST_KILLS, 5);
+        int seed = Measurements.whole(line, "seed", 0, Integer.MAX_VALUE, 1);
+        double silent = Measurements.number(line, "silent", 0, 0.5, 0.1);
+        for (double share : silent > 0 ? new double[] {0, silent} : new double[] {0}) {
+            for (boolean standby : new boolean[] {false, true}) {
+                new TakeoverMeasurement(machines, kills, seed, standby, share).play();
+            }
+        }
+    }
+
+    private void play() throws Exception {
+        Path features = Files.createTempFile("features", ".toml");
+        Files.writeString(features, FEATURE);
+        Cluster.Shape shape =
+                new Cluster.Shape(
+                        3,
+                        machines,
+                        new CloudStandIn.Offer(CPUS, 8, 1, List.of("a", "b")),
+                        Map.of("team", machines * CPUS * TEAM_SHARE),
+                        REPORT_S,
+                        LEASE_S,
+                        standby ? features : null);
+        try (Cluster cluster = new Cluster(shape)) {
+            cluster.start();
+            settle(cluster, Long.MIN_VALUE);
+            // The first tasks all begin together; later ones are spread over time.
+            keepBusy(cluster, WARM_UP_MS);
+            steady(cluster);
+            for (int i = 0; i < kills; i++) {
+                kill(cluster);
+            }
+            drain(cluster);
+            cluster.requireAlive();
+            check(cluster);
+        } finally {
+            Files.delete(features);
+        }
+    }
+
+    private int most() {
+        return (int) (machines * CPUS * TEAM_SHARE / TASK_CPUS);
+    }
+
+    private int tasksOfJob() {
+        return Math.max(1, most() / JOBS_AT_ONCE);
+    }
+
+    private static long nowMs() {
+        return ControllerProcess.nowMs();
+    }
+
+    // ---- load --------------------------------------------------------------------------------
+
+    /** Submits jobs until there is a backlog. */
+    private void refill(Cluster cluster) throws InterruptedException {
+        while (submitted - cluster.history().complete() < most() * (1 + BACKLOG)) {
+            JobRequest job =
+                    new JobRequest(
+                            String.format("wk-%06d", jobs.size() + 1),
+                            "c",
+                            "team",
+                            tasksOfJob(),
+                            TASK_CPUS,
+                            0.1,
+                            new JobProfile(
+                                    "image", 0.1, RUN_S * (0.5 + random.nextDouble()), 0, 0));
+            jobs.add(job);
+            cluster.submit(job);
+            submitted += tasksOfJob();
+        }
+    }
+
+    private void keepBusy(Cluster cluster, long forMs) throws InterruptedException {
+        long endMs = nowMs() + forMs;
+        while (nowMs() < endMs) {
+            refill(cluster);
+            Thread.sleep(POLL_MS);
+        }
+    }
+
+    /** Waits until the team is at its limit, and the standby in sync if there is to be one. */
+    private void settle(Cluster cluster, long sinceMs) throws InterruptedException {
+        long endMs = nowMs() + Math.round(PATIENCE_S * 1_000);
+        while (cluster.history().running() < most() * PLACED_SHARE
+                || (standby && !inSync(cluster, sinceMs))) {
+            refill(cluster);
+            if (nowMs() > endMs) {
+                throw new IllegalStateException(
+                        "not settled: " + cluster.history().running() + " tasks run of " + most());
+            }
+            Thread.sleep(POLL_MS);
+        }
+        refill(cluster);
+    }
+
+    private static boolean inSync(Cluster cluster, long sinceMs) {
+        ControllerProcess.Line last =
+                cluster.owner() == null
+                        ? null
+                        : cluster.owner().last(sinceMs, text -> text.contains("standby: part 0"));
+        return last != null && last.text().contains("is in sync");
+    }
+
+    // ---- takeovers ---------------------------------------------------------------------------
+
+    private void kill(Cluster cluster) throws Exception {
+        Thread.sleep(random.nextInt(LONGEST_WAIT_MS));
+        refill(cluster);
+        ControllerProcess killed = cluster.owner();
+        silence(cluster);
+        int running = cluster.history().running();
+        long killedMs = nowMs();
+        killed.kill();
+        Cluster.await("another took the part", PATIENCE_S, () -> cluster.owner() != killed);
+        ControllerProcess taker = cluster.owner();
+        long takenMs = taker.last(killedMs, text -> text.contains("takeover:")).atMs();
+        Cluster.await(
+                "a task started",
+                PATIENCE_S,
+                () -> cluster.history().firstStartAfterMs(takenMs) >= 0);
+        long placedMs = awaitPlaced(cluster, running);
+        figures.add(
+                takenMs - killedMs,
+                cluster.history().firstStartAfterMs(takenMs) - takenMs,
+                placedMs - takenMs,
+                outcome(taker, killedMs));
+        killed.start();
+        settle(cluster, takenMs);
+        Thread.sleep(Math.max(0, killedMs + SILENT_MS + 2_000 - nowMs()));
+        settle(cluster, takenMs);
+    }
+
+    private void silence(Cluster cluster) {
+        List<WorkerStandIn> workers = cluster.machines().workers();
+        Collections.shuffle(workers, random);
+        workers.stream()
+                .limit(Math.round(workers.size() * silentShare))
+                .forEach(worker -> worker.mute(SILENT_MS));
+    }
+
+    private long awaitPlaced(Cluster cluster, int running) throws InterruptedException {
+        Cluster.await(
+                "as many tasks run as before",
+                PATIENCE_S,
+                () -> cluster.history().running() >= running * PLACED_SHARE);
+        return nowMs();
+    }
+
+    private static String outcome(ControllerProcess taker, long sinceMs) {
+        ControllerProcess.Line line = taker.last(sinceMs, text -> text.contains("promotion: "));
+        return line == null
+                ? "off"
+                : line.text().replaceAll(".*promotion: [^,]*, |, \\d+ of.*", "");
+    }
+
+    // ---- what it costs, and what must not happen -----------------------------------------------
+
+    /** Prints what controllers hold and use while nothing fails. */
+    private void steady(Cluster cluster) throws InterruptedException {
+        List<ControllerProcess> controllers = cluster.controllers();
+        List<Double> before = controllers.stream().map(ControllerProcess::processorS).toList();
+        int starts = cluster.history().starts();
+        long beganMs = nowMs();
+        keepBusy(cluster, STEADY_MS);
+        double seconds = (nowMs() - beganMs) / 1000.0;
+        print(
+                "%d machines, %d tasks, standby %s: %.1f starts a second without failure",
+                machines,
+                cluster.history().running(),
+                standby ? "on" : "off",
+                (cluster.history().starts() - starts) / seconds);
+        for (int i = 0; i < controllers.size(); i++) {
+            ControllerProcess controller = controllers.get(i);
+            print(
+                    "  %s%s: %.3f of a core, %.0f MB%s%s",
+                    controller.host(),
+                    controller == cluster.owner() ? " (owner)" : "",
+                    (controller.processorS() - before.get(i)) / seconds,
+                    controller.memoryMb(false),
+                    last(controller, "standby: held"),
+                    last(controller, "standby: sent"));
+        }
+    }
+
+    private static String last(ControllerProcess controller, String beginning) {
+        ControllerProcess.Line line =
+                controller.last(Long.MIN_VALUE, text -> text.contains(beginning));
+        return line == null ? "" : "; " + line.text().replaceAll(".*standby: ", "");
+    }
+
+    /** Submits nothing more, and waits until every job is done. */
+    private void drain(Cluster cluster) throws InterruptedException {
+        for (JobRequest job : jobs) {
+            Cluster.await(job.id() + " is done", PATIENCE_S, () -> cluster.done(job.id()));
+        }
+    }
+
+    private void check(Cluster cluster) {
+        figures.print(
+                String.format(
+                        Locale.ROOT,
+                        "standby %s, silent %.2f",
+                        standby ? "on" : "off",
+                        silentShare));
+        print(
+                "  %d jobs of %d tasks done, %d starts",
+                jobs.size(), submitted, cluster.history().starts());
+        if (!cluster.history().violations().isEmpty()) {
+            throw new IllegalStateException(String.join("; ", cluster.history().violations()));
+        }
+        if (cluster.history().complete() != submitted) {
+            throw new IllegalStateException(
+                    cluster.history().complete() + " tasks of " + submitted + " have completed");
+        }
+        if (standby && figures.times(IN_SYNC) == 0) {
+            throw new IllegalStateException("no standby was promoted in sync");
+        }
+    }
+
+    private static void print(String form, Object... values) {
+        System.out.println(String.format(Locale.ROOT, form, values));
+    }
+}
--- a/src/main/java/org/shoreusher/peer/StandbyLines.java
+++ b/src/main/java/org/shoreusher/peer/StandbyLines.java
@@ -28,6 +28,8 @@
     private final Map<String, Channel> lines = new HashMap<>();
     private final Map<String, byte[]> connecting = new HashMap<>();
     private final Bootstrap bootstrap;
+    private long messages;
+    private long bytesSent;
 
     /** An adapter that knows the other members' addresses. */
     public StandbyLines(EventLoopGroup loop, Settings settings) {
@@ -57,6 +59,8 @@
             return;
         }
         byte[] bytes = StandbyCodec.write(message);
+        messages++;
+        bytesSent += bytes.length;
         Channel line = lines.get(host);
         if (line == null || !line.isActive()) {
             connect(host, address, bytes);
@@ -67,6 +71,17 @@
         }
     }
 
+    /** What was sent since the last call, as one line; null if nothing was. */
+    public String sent() {
+        if (messages == 0) {
+            return null;
+        }
+        String line = "standby: sent " + messages + " messages of " + bytesSent + " bytes";
+        messages = 0;
+        bytesSent = 0;
+        return line;
+    }
+
     /** Connects; the last message that is to be sent meanwhile goes out first. */
     private void connect(String host, Settings.Address address, byte[] bytes) {
         if (connecting.put(host, bytes) != null) {
--- a/src/main/java/org/shoreusher/standin/TaskHistory.java
+++ b/src/main/java/org/shoreusher/standin/TaskHistory.java
@@ -6,6 +6,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.TreeSet;
 
 /**
  * What really happened to the tasks of a run on stand-ins: where each is, which are complete, what
@@ -19,13 +20,16 @@
     private final Map<String, Long> firstStartMs = new HashMap<>();
     private final Set<String> complete = new HashSet<>();
     private final List<String> violations = new ArrayList<>();
+    private final TreeSet<Long> startedMs = new TreeSet<>();
     private int starts;
     private int fetches;
 
     /** A task begins to run; returns the seconds of progress that it goes on from. */
     synchronized double started(String task, String machine) {
         starts++;
-        firstStartMs.putIfAbsent(task, System.nanoTime() / 1_000_000);
+        long nowMs = System.nanoTime() / 1_000_000;
+        startedMs.add(nowMs);
+        firstStartMs.putIfAbsent(task, nowMs);
         String before = machines.put(task, machine);
         if (before != null) {
             violations.add(task + " began on " + machine + " while on " + before);
@@ -65,6 +69,12 @@
         return new HashMap<>(firstStartMs);
     }
 
+    /** When the first task after a moment began, in ms of {@link System#nanoTime}; -1: none yet. */
+    public synchronized long firstStartAfterMs(long afterMs) {
+        Long first = startedMs.higher(afterMs);
+        return first == null ? -1 : first;
+    }
+
     /** The tasks that have completed. */
     public synchronized Set<String> completeTasks() {
         return new HashSet<>(complete);
--- a/src/main/java/org/shoreusher/standin/WorkerStandIn.java
+++ b/src/main/java/org/shoreusher/standin/WorkerStandIn.java
@@ -101,10 +101,12 @@
     private long session = 1;
     private long sequence;
     private long token;
+    private long tokenReportedNs = System.nanoTime();
     private long leaseFromNs = System.nanoTime();
     private long reportedAtNs;
     private boolean inFlight;
     private boolean changed;
+    private long silentUntilNs = System.nanoTime();
     private volatile boolean stopped;
 
     /** Begins to report. */
@@ -128,6 +130,11 @@
         endTasks();
     }
 
+    /** Reaches no controller for a while; its tasks go on within their lease. */
+    public synchronized void mute(long forMs) {
+        silentUntilNs = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(forMs);
+    }
+
     /** Tasks that take room on the machine: those that fetch, run or save. */
     public synchronized List<String> tasksHeld() {
         return tasks.values().stream()
@@ -179,6 +186,10 @@
         if (inFlight) {
             return;
         }
+        if (System.nanoTime() - silentUntilNs < 0) {
+            after(RETRY_MS, this::report);
+            return;
+        }
         inFlight = true;
         changed = false;
         reportedAtNs = System.nanoTime();
@@ -285,7 +296,7 @@
             if (ofSession != session || answer.whole("baton") < token) {
                 return;
             }
-            token = answer.whole("baton");
+            tokenSeen(answer.whole("baton"));
             leaseFromNs = Math.max(leaseFromNs, sentNs);
             for (FieldMap order : answer.list("orders")) {
                 carryOut(order);
@@ -295,6 +306,16 @@
         }
     }
 
+    /** A higher token is a change that is reported, at most once in half of a lease. */
+    private void tokenSeen(long seen) {
+        long sinceMs = TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - tokenReportedNs);
+        if (seen > token && (token == 0 || sinceMs >= environment.leaseMs() / 2)) {
+            tokenReportedNs = System.nanoTime();
+            change();
+        }
+        token = seen;
+    }
+
     private void carryOut(FieldMap order) throws FieldMap.Missing {
         String name = order.text("sheet");
         long attempt = order.whole("try");
--- a/src/test/java/org/shoreusher/model/StandbyWorlds.java
+++ b/src/test/java/org/shoreusher/model/StandbyWorlds.java
@@ -63,7 +63,7 @@
                             at,
                             w ->
                                     Troubles.owners(w)
-                                            .forEach(p -> p.killAfterEffects(effects, back))));
+                                            .forEach(p -> p.killSwitch.armAfter(effects, back))));
             if (seed % 2 == 0) {
                 long length = 4_000 + r.nextInt(16_000);
                 list.add(new Trouble(at, w -> silence(w, length)));
--- a/src/test/java/org/shoreusher/model/World.java
+++ b/src/test/java/org/shoreusher/model/World.java
@@ -10,7 +10,6 @@
 import java.util.Random;
 import java.util.function.Consumer;
 import java.util.function.IntPredicate;
-import java.util.function.Predicate;
 import org.shoreusher.core.ClockReading;
 import org.shoreusher.core.Command;
 import org.shoreusher.core.Effect;
@@ -190,8 +189,7 @@
         private long pausedUntil;
         private long wallOff;
         private boolean upgraded;
-        private Predicate<Effect> killAt;
-        private long backAfterMs;
+        final KillSwitch killSwitch = new KillSwitch();
 
         /** Not started with the others, but by its upgrade only; a test acts for it until then. */
         boolean absent;
@@ -298,8 +296,8 @@
                             1_700_000_000_000L + now + wallOff);
             int ofLife = life;
             for (Effect e : node.step(reading, batch)) {
-                if (life == ofLife && killedBefore(e)) {
-                    kill(backAfterMs);
+                if (life == ofLife && killSwitch.before(e)) {
+                    kill(killSwitch.backAfterMs());
                     kills++;
                     onKilled.run();
                 }
@@ -310,26 +308,6 @@
             }
         }
 
-        /** Kills the process in the middle of a batch, just before the effect that matches. */
-        void killBefore(Predicate<Effect> effect, long backAfter) {
-            killAt = effect;
-            backAfterMs = backAfter;
-        }
-
-        /** Kills the process after so many effects from now on. */
-        void killAfterEffects(int count, long backAfter) {
-            int[] left = {count};
-            killBefore(effect -> left[0]-- <= 0, backAfter);
-        }
-
-        private boolean killedBefore(Effect effect) {
-            if (killAt == null || !killAt.test(effect)) {
-                return false;
-            }
-            killAt = null;
-            return true;
-        }
-
         String zone() {
             return settings.zones().get(index % settings.zones().size());
         }
