--- a/src/main/java/org/shoreusher/standin/WorkerStandIn.java
+++ b/src/main/java/org/shoreusher/standin/WorkerStandIn.java
@@ -44,57 +44,12 @@
             Function<String, JobProfile> profiles,
             TaskHistory history) {}
 
-    /** Where a task stands, with the word that reports use for it. */
-    private enum State {
-        FETCHING("pulling"),
-        RUNNING("running"),
-        SAVING("flushing"),
-        EXITED("exited");
-
-        private final String shown;
-
-        State(String shown) {
-            this.shown = shown;
-        }
-    }
-
-    /** A task on this machine. */
-    private static final class Task {
-        private final String name;
-        private final long attempt;
-        private final JobProfile profile;
-        private State state = State.FETCHING;
-        private String cause;
-        private boolean stored;
-        private double startedAtProgressS;
-        private long runningSinceNs;
-
-        Task(String name, long attempt, JobProfile profile) {
-            this.name = name;
-            this.attempt = attempt;
-            this.profile = profile;
-        }
-
-        double progressS() {
-            return startedAtProgressS + (System.nanoTime() - runningSinceNs) / 1e9;
-        }
-
-        /** Progress that the task has saved by itself so far. */
-        double savedS() {
-            return profile.saveEveryS() <= 0
-                    ? 0
-                    : Math.max(
-                            startedAtProgressS,
-                            Math.floor(progressS() / profile.saveEveryS()) * profile.saveEveryS());
-        }
-    }
-
     private final Identity identity;
     private final Environment environment;
     private final Random random;
     private final List<String> hosts;
     private final Map<String, HttpCaller> callers = new HashMap<>();
-    private final Map<String, Task> tasks = new LinkedHashMap<>();
+    private final Map<String, StandInTask> tasks = new LinkedHashMap<>();
     private final Set<String> images = new HashSet<>();
     private final Set<String> fetching = new HashSet<>();
     private int target;
@@ -138,13 +93,15 @@
     /** Tasks that take room on the machine: those that fetch, run or save. */
     public synchronized List<String> tasksHeld() {
         return tasks.values().stream()
-                .filter(task -> task.state != State.EXITED)
+                .filter(task -> task.state != StandInTask.State.EXITED)
                 .map(task -> task.name)
                 .toList();
     }
 
     synchronized boolean runs(String task) {
-        return !stopped && tasks.containsKey(task) && tasks.get(task).state != State.EXITED;
+        return !stopped
+                && tasks.containsKey(task)
+                && tasks.get(task).state != StandInTask.State.EXITED;
     }
 
     private void after(double ms, Runnable action) {
@@ -174,8 +131,8 @@
         tasks.clear();
     }
 
-    private void interrupted(Task task) {
-        if (task.state == State.RUNNING || task.state == State.SAVING) {
+    private void interrupted(StandInTask task) {
+        if (task.state == StandInTask.State.RUNNING || task.state == StandInTask.State.SAVING) {
             environment.history().ended(task.name, identity.id(), task.progressS(), task.savedS());
         }
     }
@@ -277,7 +234,7 @@
         return report;
     }
 
-    private static Map<String, Object> shown(Task task) {
+    private static Map<String, Object> shown(StandInTask task) {
         Map<String, Object> shown = new LinkedHashMap<>();
         shown.put("sheet", task.name);
         shown.put("try", task.attempt);
@@ -319,7 +276,7 @@
     private void carryOut(FieldMap order) throws FieldMap.Missing {
         String name = order.text("sheet");
         long attempt = order.whole("try");
-        Task present = tasks.get(name);
+        StandInTask present = tasks.get(name);
         switch (order.text("verb")) {
             case "run" -> {
                 if (present == null) {
@@ -341,7 +298,7 @@
 
     private void start(String name, long attempt) {
         JobProfile profile = environment.profiles().apply(name.substring(0, name.indexOf('/')));
-        Task task = new Task(name, attempt, profile);
+        StandInTask task = new StandInTask(name, attempt, profile);
         tasks.put(name, task);
         change();
         if (images.contains(profile.image())) {
@@ -355,15 +312,15 @@
     private void fetched(String image) {
         fetching.remove(image);
         images.add(image);
-        for (Task task : tasks.values()) {
-            if (task.state == State.FETCHING && task.profile.image().equals(image)) {
+        for (StandInTask task : tasks.values()) {
+            if (task.state == StandInTask.State.FETCHING && task.profile.image().equals(image)) {
                 run(task);
             }
         }
     }
 
-    private void run(Task task) {
-        task.state = State.RUNNING;
+    private void run(StandInTask task) {
+        task.state = StandInTask.State.RUNNING;
         task.runningSinceNs = System.nanoTime();
         task.startedAtProgressS = environment.history().started(task.name, identity.id());
         change();
@@ -373,39 +330,41 @@
         }
     }
 
-    private void complete(Task task) {
-        if (tasks.get(task.name) == task && task.state == State.RUNNING) {
+    private void complete(StandInTask task) {
+        if (tasks.get(task.name) == task && task.state == StandInTask.State.RUNNING) {
             environment.history().completed(task.name, identity.id());
             exit(task, "done");
         }
     }
 
-    private void halt(Task task, double graceS) {
-        if (task.state == State.RUNNING
+    private void halt(StandInTask task, double graceS) {
+        if (task.state == StandInTask.State.RUNNING
                 && task.profile.saveEveryS() > 0
                 && graceS >= task.profile.saveS()) {
-            task.state = State.SAVING;
+            task.state = StandInTask.State.SAVING;
             change();
             double savedS = task.progressS();
             after(
                     task.profile.saveS() * 1_000,
                     () -> {
-                        if (tasks.get(task.name) == task && task.state == State.SAVING) {
+                        if (tasks.get(task.name) == task
+                                && task.state == StandInTask.State.SAVING) {
                             environment.history().ended(task.name, identity.id(), savedS, savedS);
                             task.stored = true;
                             exit(task, "halted");
                         }
                     });
-        } else if (task.state == State.FETCHING) {
+        } else if (task.state == StandInTask.State.FETCHING) {
             exit(task, "halted");
-        } else if (task.state == State.RUNNING || graceS <= 0 && task.state == State.SAVING) {
+        } else if (task.state == StandInTask.State.RUNNING
+                || graceS <= 0 && task.state == StandInTask.State.SAVING) {
             interrupted(task);
             exit(task, "halted");
         }
     }
 
-    private void exit(Task task, String cause) {
-        task.state = State.EXITED;
+    private void exit(StandInTask task, String cause) {
+        task.state = StandInTask.State.EXITED;
         task.cause = cause;
         change();
     }
