--- /dev/null
+++ b/src/test/java/org/shoreusher/measure/MeasurementsTest.java
@@ -0,0 +1,43 @@
+package org.shoreusher.measure;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+
+import net.jqwik.api.Example;
+import org.apache.commons.cli.CommandLine;
+import org.apache.commons.cli.DefaultParser;
+import org.shoreusher.measure.Measurements.BadOption;
+
+/** Tests of the measurements' options; the measurements themselves take minutes. */
+class MeasurementsTest {
+    private static CommandLine parse(String... words) throws Exception {
+        return new DefaultParser().parse(TakeoverMeasurement.OPTIONS, words);
+    }
+
+    @Example
+    void optionsOutOfBoundsAreNamedWithWhatIsAllowed() throws Exception {
+        CommandLine line = parse("--machines", "5000", "--silent", "much", "--kills", "2.5");
+        BadOption machines =
+                assertThrows(
+                        BadOption.class, () -> Measurements.whole(line, "machines", 4, 4_000, 400));
+        assertEquals("--machines must be a number from 4 to 4000", machines.getMessage());
+        BadOption silent =
+                assertThrows(
+                        BadOption.class, () -> Measurements.number(line, "silent", 0, 0.5, 0.1));
+        assertEquals("--silent must be a number from 0 to 0.5", silent.getMessage());
+        BadOption kills =
+                assertThrows(BadOption.class, () -> Measurements.whole(line, "kills", 1, 9, 5));
+        assertEquals("--kills must be a whole number", kills.getMessage());
+        assertEquals(7, Measurements.whole(line, "seed", 0, 9, 7));
+    }
+
+    @Example
+    void unknownMeasurementsAndOptionsAreRefused() throws Exception {
+        assertEquals(2, Measurements.run(new String[] {}));
+        assertEquals(2, Measurements.run(new String[] {"everything"}));
+        assertEquals(2, Measurements.run(new String[] {"takeover", "--speed", "1"}));
+        assertEquals(2, Measurements.run(new String[] {"fleet", "more"}));
+        assertEquals(1, Measurements.run(new String[] {"takeover", "--machines", "0"}));
+        assertEquals(0, Measurements.run(new String[] {"--help"}));
+    }
+}
--- a/src/test/java/org/shoreusher/model/StandbyHardCasesTest.java
+++ b/src/test/java/org/shoreusher/model/StandbyHardCasesTest.java
@@ -125,7 +125,10 @@
         }
     }
 
-    /** A completion is seen and not yet durable when its owner ends; its machine stays silent. */
+    /**
+     * Completions are seen and not yet durable when their owner ends, just before its next renewal;
+     * half of the machines stay silent, and the others have room.
+     */
     @Example
     void aCompletedTaskIsNotStartedAgainBeforeItsMachineHasReported() {
         int promoted = 0;
@@ -134,19 +137,32 @@
                     world(
                             seed,
                             (x, owner) -> {
-                                x.cloud.machines().forEach(m -> m.mute(SILENT_MS));
-                                x.in(30, () -> owner.kill(AWAY_MS));
-                                int before = x.rules.startsAfterEnd;
-                                x.in(
-                                        LEASES_HOLD_MS,
-                                        () -> assertEquals(before, x.rules.startsAfterEnd));
+                                owner.killSwitch.arm(
+                                        effect -> KillPoint.partRecord(effect) != null, AWAY_MS);
+                                x.onKilled = () -> silenceHalfAndCount(x);
                             });
             check(w);
+            assertTrue(w.kills > 0, "never killed");
             promoted += inSync(w);
         }
         assertTrue(promoted >= 10, "promoted " + promoted);
     }
 
+    private static void silenceHalfAndCount(World w) {
+        muteHalf(w, SILENT_MS);
+        int before = w.rules.startsAfterEnd;
+        w.in(LEASES_HOLD_MS, () -> assertEquals(before, w.rules.startsAfterEnd));
+    }
+
+    private static void muteHalf(World w, long forMs) {
+        int n = 0;
+        for (WorkerModel m : w.cloud.machines()) {
+            if (n++ % 2 == 0) {
+                m.mute(forMs);
+            }
+        }
+    }
+
     /** Half of the machines are silent at the promotion: the others get work at once. */
     @Example
     void silentMachinesHoldNothingUp() {
@@ -181,12 +197,7 @@
         w.at(
                 TROUBLE_MS,
                 () -> {
-                    int n = 0;
-                    for (WorkerModel m : w.cloud.machines()) {
-                        if (n++ % 2 == 0) {
-                            m.mute(60_000);
-                        }
-                    }
+                    muteHalf(w, 60_000);
                     Troubles.owners(w).forEach(p -> p.kill(AWAY_MS));
                     starts[0] = w.rules.starts;
                 });
