--- a/src/main/java/org/shoreusher/measure/TakeoverMeasurement.java
+++ b/src/main/java/org/shoreusher/measure/TakeoverMeasurement.java
@@ -8,6 +8,7 @@
 import java.util.Locale;
 import java.util.Map;
 import java.util.Random;
+import java.util.function.BooleanSupplier;
 import org.apache.commons.cli.CommandLine;
 import org.apache.commons.cli.Options;
 import org.shoreusher.standin.CloudStandIn;
@@ -162,16 +163,12 @@
 
     /** Waits until the team is at its limit, and the standby in sync if there is to be one. */
     private void settle(Cluster cluster, long sinceMs) throws InterruptedException {
-        long endMs = nowMs() + Math.round(PATIENCE_S * 1_000);
-        while (cluster.history().running() < most() * PLACED_SHARE
-                || (standby && !inSync(cluster, sinceMs))) {
-            refill(cluster);
-            if (nowMs() > endMs) {
-                throw new IllegalStateException(
-                        "not settled: " + cluster.history().running() + " tasks run of " + most());
-            }
-            Thread.sleep(POLL_MS);
-        }
+        awaitBusy(
+                cluster,
+                "all settled",
+                () ->
+                        cluster.history().running() >= most() * PLACED_SHARE
+                                && (!standby || inSync(cluster, sinceMs)));
         refill(cluster);
     }
 
@@ -193,14 +190,16 @@
         int running = cluster.history().running();
         long killedMs = nowMs();
         killed.kill();
-        Cluster.await("another took the part", PATIENCE_S, () -> cluster.owner() != killed);
+        awaitBusy(cluster, "another took the part", () -> cluster.owner() != killed);
         ControllerProcess taker = cluster.owner();
         long takenMs = taker.last(killedMs, text -> text.contains("takeover:")).atMs();
-        Cluster.await(
-                "a task started",
-                PATIENCE_S,
-                () -> cluster.history().firstStartAfterMs(takenMs) >= 0);
-        long placedMs = awaitPlaced(cluster, running);
+        awaitBusy(
+                cluster, "a task started", () -> cluster.history().firstStartAfterMs(takenMs) >= 0);
+        awaitBusy(
+                cluster,
+                "as many tasks run as before",
+                () -> cluster.history().running() >= running * PLACED_SHARE);
+        long placedMs = nowMs();
         figures.add(
                 takenMs - killedMs,
                 cluster.history().firstStartAfterMs(takenMs) - takenMs,
@@ -220,12 +219,17 @@
                 .forEach(worker -> worker.mute(SILENT_MS));
     }
 
-    private long awaitPlaced(Cluster cluster, int running) throws InterruptedException {
-        Cluster.await(
-                "as many tasks run as before",
-                PATIENCE_S,
-                () -> cluster.history().running() >= running * PLACED_SHARE);
-        return nowMs();
+    /** Waits for something, and keeps up the backlog meanwhile. */
+    private void awaitBusy(Cluster cluster, String what, BooleanSupplier condition)
+            throws InterruptedException {
+        long endMs = nowMs() + Math.round(PATIENCE_S * 1_000);
+        while (!condition.getAsBoolean()) {
+            refill(cluster);
+            if (nowMs() > endMs) {
+                throw new IllegalStateException("not within " + PATIENCE_S + " s: " + what);
+            }
+            Thread.sleep(POLL_MS);
+        }
     }
 
     private static String outcome(ControllerProcess taker, long sinceMs) {
