--- a/src/test/java/org/shoreusher/model/KillPoint.java
+++ b/src/test/java/org/shoreusher/model/KillPoint.java
@@ -79,20 +79,12 @@
         };
     }
 
-    /** Whether a frame is sent that tells a start. */
-    static boolean tellsStart(Effect effect) {
+    private static boolean tellsStart(Effect effect) {
         return effect instanceof Effect.SendToPeer send
                 && send.message() instanceof LogFrame frame
                 && frame.records().stream().anyMatch(r -> r instanceof LogRecord.Started);
     }
 
-    /** Whether a frame is sent with the end of a snapshot. */
-    static boolean endsSnapshot(Effect effect) {
-        return effect instanceof Effect.SendToPeer send
-                && send.message() instanceof LogFrame frame
-                && frame.records().stream().anyMatch(r -> r instanceof LogRecord.SnapshotEnd);
-    }
-
     static boolean isStart(Effect effect) {
         return effect instanceof Effect.Answer answer
                 && answer.response() instanceof Response.Orders orders
@@ -106,8 +98,7 @@
                 : null;
     }
 
-    /** Whether the part's record is written with the name of a standby. */
-    static boolean names(Effect effect) {
+    private static boolean names(Effect effect) {
         Map<String, Object> record = partRecord(effect);
         return record != null && record.containsKey("standby");
     }
--- a/src/test/java/org/shoreusher/model/StandbyHardCasesTest.java
+++ b/src/test/java/org/shoreusher/model/StandbyHardCasesTest.java
@@ -104,43 +104,6 @@
         };
     }
 
-    /**
-     * Starts leave while the end of the snapshot is on its way; the frame that tells them is held
-     * up, and the owner ends as soon as a standby has been named.
-     */
-    @Example
-    void aStandbyIsNamedOnlyWhenItKnowsTheStartsThatLeftDuringItsSnapshot() {
-        for (long seed = 0; seed < 8; seed++) {
-            World w =
-                    world(
-                            seed,
-                            (x, owner) -> {
-                                x.processes.forEach(p -> x.network.cut(owner.host, p.host, 1_500));
-                                owner.killSwitch.arm(holdUpAfterSnapshot(x, owner), AWAY_MS);
-                                x.onKilled =
-                                        () -> x.cloud.machines().forEach(m -> m.mute(SILENT_MS));
-                            });
-            check(w);
-        }
-    }
-
-    private static Predicate<Effect> holdUpAfterSnapshot(World w, World.Process owner) {
-        boolean[] seen = new boolean[3];
-        return effect -> {
-            boolean due = seen[2];
-            if (KillPoint.endsSnapshot(effect)) {
-                String standby = ((Effect.SendToPeer) effect).host();
-                w.network.cut(owner.host, standby, 800);
-                seen[0] = true;
-            } else if (seen[0] && !seen[1] && KillPoint.tellsStart(effect)) {
-                w.network.cut(owner.host, ((Effect.SendToPeer) effect).host(), 20_000);
-                seen[1] = true;
-            }
-            seen[2] |= seen[0] && KillPoint.names(effect);
-            return due;
-        };
-    }
-
     /** Starts go on while the standby's link is slow; the owner ends before it has caught up. */
     @Example
     void noStartLeavesBeforeTheStandbyKnowsIt() {
