--- a/src/main/java/org/shoreusher/core/AttemptReplicas.java
+++ b/src/main/java/org/shoreusher/core/AttemptReplicas.java
@@ -89,11 +89,6 @@
         return new Fence(owner, term.longValue());
     }
 
-    /** Whether owners may be told that this process understands the log. */
-    boolean enabled() {
-        return !off();
-    }
-
     /**
      * This process has taken a part.
      *
@@ -128,13 +123,4 @@
                         + times
                         + " of this kind");
     }
-
-    /** Attempts that this node knows as standby of any part. */
-    int attempts() {
-        int attempts = 0;
-        for (AttemptLogReceiver receiver : receivers) {
-            attempts += receiver == null ? 0 : receiver.attempts();
-        }
-        return attempts;
-    }
 }
