Measurement of takeovers counts what runs on machines that are heard, and takes large jobs too

Silent machines keep their tasks' room and limit, as they must, so as many tasks as before never ran until they were heard: both with and without the standby the measurement waited for their return.

--- a/src/main/java/org/shoreusher/measure/Measurements.java
+++ b/src/main/java/org/shoreusher/measure/Measurements.java
@@ -18,7 +18,7 @@
     public static final String HELP =
             """
             usage: shoreusher measure NAME [options], from the repository's root, after a build
-              takeover  --machines N --kills K --silent SHARE --seed S
+              takeover  --machines N --kills K --silent SHARE --jobs N --seed S
                         time without starts when owners are killed, with and without standby
               fleet     --machines N --tasks N
                         memory, processor and rebuilds with thousands of workers
--- a/src/main/java/org/shoreusher/measure/TakeoverMeasurement.java
+++ b/src/main/java/org/shoreusher/measure/TakeoverMeasurement.java
@@ -4,10 +4,12 @@
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.Collections;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Locale;
 import java.util.Map;
 import java.util.Random;
+import java.util.Set;
 import java.util.function.BooleanSupplier;
 import org.apache.commons.cli.CommandLine;
 import org.apache.commons.cli.Options;
@@ -26,10 +28,12 @@
                     .addOption("m", "machines", true, "machines, default 400")
                     .addOption("k", "kills", true, "kills in each setting, default 5")
                     .addOption("q", "silent", true, "share of silent machines, default 0.1")
+                    .addOption("j", "jobs", true, "jobs that run at once, default 20")
                     .addOption("s", "seed", true, "seed of the moments, default 1");
 
     private static final int MOST_MACHINES = 4_000;
     private static final int MOST_KILLS = 1_000;
+    private static final int MOST_JOBS = 1_000;
     private static final double CPUS = 4;
     private static final double TASK_CPUS = 2;
 
@@ -40,9 +44,6 @@
     private static final double LEASE_S = 26.5;
     private static final double RUN_S = 12;
 
-    /** Jobs that the running tasks belong to, so that some end at any time. */
-    private static final int JOBS_AT_ONCE = 20;
-
     /** Waiting tasks, as a share of those that run. */
     private static final double BACKLOG = 0.6;
 
@@ -62,6 +63,10 @@
 
     private final int machines;
     private final int kills;
+
+    /** Jobs that the running tasks belong to; with few, hardly any task was never started. */
+    private final int jobsAtOnce;
+
     private final Random random;
     private final boolean standby;
     private final double silentShare;
@@ -70,9 +75,15 @@
     private int submitted;
 
     private TakeoverMeasurement(
-            int machines, int kills, long seed, boolean standby, double silentShare) {
+            int machines,
+            int kills,
+            int jobsAtOnce,
+            long seed,
+            boolean standby,
+            double silentShare) {
         this.machines = machines;
         this.kills = kills;
+        this.jobsAtOnce = jobsAtOnce;
         this.standby = standby;
         this.silentShare = silentShare;
         random = new Random(seed);
@@ -82,11 +93,12 @@
     static void run(CommandLine line) throws Exception {
         int machines = Measurements.whole(line, "machines", 4, MOST_MACHINES, 400);
         int kills = Measurements.whole(line, "kills", 1, MOST_KILLS, 5);
+        int jobsAtOnce = Measurements.whole(line, "jobs", 1, MOST_JOBS, 20);
         int seed = Measurements.whole(line, "seed", 0, Integer.MAX_VALUE, 1);
         double silent = Measurements.number(line, "silent", 0, 0.5, 0.1);
         for (double share : silent > 0 ? new double[] {0, silent} : new double[] {0}) {
             for (boolean standby : new boolean[] {false, true}) {
-                new TakeoverMeasurement(machines, kills, seed, standby, share).play();
+                new TakeoverMeasurement(machines, kills, jobsAtOnce, seed, standby, share).play();
             }
         }
     }
@@ -125,7 +137,7 @@
     }
 
     private int tasksOfJob() {
-        return Math.max(1, most() / JOBS_AT_ONCE);
+        return Math.max(1, most() / jobsAtOnce);
     }
 
     private static long nowMs() {
@@ -186,8 +198,8 @@
         Thread.sleep(random.nextInt(LONGEST_WAIT_MS));
         refill(cluster);
         ControllerProcess killed = cluster.owner();
-        silence(cluster);
-        int running = cluster.history().running();
+        Set<String> silent = silence(cluster);
+        int running = runningHeard(cluster, silent);
         long killedMs = nowMs();
         killed.kill();
         awaitBusy(cluster, "another took the part", () -> cluster.owner() != killed);
@@ -198,7 +210,7 @@
         awaitBusy(
                 cluster,
                 "as many tasks run as before",
-                () -> cluster.history().running() >= running * PLACED_SHARE);
+                () -> runningHeard(cluster, silent) >= running * PLACED_SHARE);
         long placedMs = nowMs();
         figures.add(
                 takenMs - killedMs,
@@ -211,12 +223,23 @@
         settle(cluster, takenMs);
     }
 
-    private void silence(Cluster cluster) {
+    /** Silences a share of the machines; returns their names. */
+    private Set<String> silence(Cluster cluster) {
         List<WorkerStandIn> workers = cluster.machines().workers();
         Collections.shuffle(workers, random);
-        workers.stream()
-                .limit(Math.round(workers.size() * silentShare))
-                .forEach(worker -> worker.mute(SILENT_MS));
+        Set<String> silent = new HashSet<>();
+        for (WorkerStandIn worker : workers) {
+            if (silent.size() < workers.size() * silentShare) {
+                worker.mute(SILENT_MS);
+                silent.add(worker.identity().id());
+            }
+        }
+        return silent;
+    }
+
+    /** What silent machines hold stays as it is; what the others run is what a taker can place. */
+    private static int runningHeard(Cluster cluster, Set<String> silent) {
+        return cluster.history().runningOn(machine -> !silent.contains(machine));
     }
 
     /** Waits for something, and keeps up the backlog meanwhile. */
--- a/src/main/java/org/shoreusher/standin/TaskHistory.java
+++ b/src/main/java/org/shoreusher/standin/TaskHistory.java
@@ -7,6 +7,7 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.TreeSet;
+import java.util.function.Predicate;
 
 /**
  * What really happened to the tasks of a run on stand-ins: where each is, which are complete, what
@@ -64,6 +65,11 @@
         return machines.size();
     }
 
+    /** Tasks that run now on machines that the predicate accepts. */
+    public synchronized int runningOn(Predicate<String> wanted) {
+        return (int) machines.values().stream().filter(wanted).count();
+    }
+
     /** When each task first began, in ms of {@link System#nanoTime}. */
     public synchronized Map<String, Long> firstStartMs() {
         return new HashMap<>(firstStartMs);
--- a/src/test/java/org/shoreusher/model/KillPoint.java
+++ b/src/test/java/org/shoreusher/model/KillPoint.java
@@ -12,69 +12,34 @@
 /** Where an owner is killed, by the step that it is about to take or has just taken. */
 enum KillPoint {
     /** A start is decided, and its frame is not yet sent. */
-    BEFORE_FRAME(false) {
-        @Override
-        boolean matches(Effect effect) {
-            return tellsStart(effect);
-        }
-    },
+    BEFORE_FRAME(KillPoint::tellsStart, false),
     /** The frame is sent, and nothing after it. */
-    AFTER_FRAME(true) {
-        @Override
-        boolean matches(Effect effect) {
-            return tellsStart(effect);
-        }
-    },
+    AFTER_FRAME(KillPoint::tellsStart, true),
     /** The standby has acknowledged, and the answer is not yet sent. */
-    BEFORE_ANSWER(false) {
-        @Override
-        boolean matches(Effect effect) {
-            return isStart(effect);
-        }
-    },
+    BEFORE_ANSWER(KillPoint::isStart, false),
     /** The answer is sent, and nothing after it. */
-    AFTER_ANSWER(true) {
-        @Override
-        boolean matches(Effect effect) {
-            return isStart(effect);
-        }
-    },
+    AFTER_ANSWER(KillPoint::isStart, true),
     /** The write that names the standby is not yet sent. */
-    BEFORE_NAMING(false) {
-        @Override
-        boolean matches(Effect effect) {
-            return names(effect);
-        }
-    },
+    BEFORE_NAMING(KillPoint::names, false),
     /** The write that names the standby is sent. */
-    AFTER_NAMING(true) {
-        @Override
-        boolean matches(Effect effect) {
-            return names(effect);
-        }
-    },
+    AFTER_NAMING(KillPoint::names, true),
     /** A renewal of the lease is sent. */
-    AFTER_RENEWAL(true) {
-        @Override
-        boolean matches(Effect effect) {
-            return partRecord(effect) != null;
-        }
-    };
+    AFTER_RENEWAL(effect -> partRecord(effect) != null, true);
 
+    private final Predicate<Effect> step;
     private final boolean after;
 
-    KillPoint(boolean after) {
+    KillPoint(Predicate<Effect> step, boolean after) {
+        this.step = step;
         this.after = after;
     }
 
-    abstract boolean matches(Effect effect);
-
     /** The effect before which the owner is to be killed. */
     Predicate<Effect> predicate() {
         boolean[] seen = {false};
         return effect -> {
             boolean due = seen[0];
-            seen[0] |= matches(effect);
+            seen[0] |= step.test(effect);
             return after ? due : seen[0];
         };
     }
@@ -85,7 +50,7 @@
                 && frame.records().stream().anyMatch(r -> r instanceof LogRecord.Started);
     }
 
-    static boolean isStart(Effect effect) {
+    private static boolean isStart(Effect effect) {
         return effect instanceof Effect.Answer answer
                 && answer.response() instanceof Response.Orders orders
                 && orders.orders().stream().anyMatch(o -> o.kind() == WorkerOrder.Kind.START);
