A machine's age counts from the reply to its provision request, so late requests no longer run tasks twice

Cause: a machine that the cloud's list lacks counts as terminated once it is older than the list can be out of date. Its age was counted from the time at which the provision request was sent, but the cloud may execute the request at any time up to the reply: up to 5 s later (connection and call), and later still if the controller is paused before it reads the reply. The margin was 3 s. The machine's record contained the same time, so a successor could make the same mistake.

Change: the age counts from the reply, by which the machine certainly existed. The record keeps its form and contains that time. The comparison allows for two clock offsets, since the record may be another node's, and for 10 s, longer than a leader's lease, since leaders of previous versions record the time of sending.

Why it works: the list shows a state of at most twice the lag before its request. A machine that existed before that state and is not in it is gone; the reply is never earlier than the execution.

--- a/src/main/java/org/shoreusher/core/cluster/Machine.java
+++ b/src/main/java/org/shoreusher/core/cluster/Machine.java
@@ -91,7 +91,10 @@
         return spot;
     }
 
-    /** Wall-clock ms at which it was requested, or as computed from its age in the cloud's list. */
+    /**
+     * Wall-clock ms by which the cloud had certainly provisioned it. From a record of a previous
+     * version, the time at which the request was sent.
+     */
     public long provisionedWallMs() {
         return provisionedWallMs;
     }
--- a/src/main/java/org/shoreusher/core/machine/CloudInventory.java
+++ b/src/main/java/org/shoreusher/core/machine/CloudInventory.java
@@ -169,19 +169,26 @@
     }
 
     private void removeUnlistedMachines(ClockReading requestedAt) {
-        // A list shows a state that is at most twice the inventory's lag old, so it contains each
-        // machine that was provisioned before that time and has not been terminated.
-        long maxListDelayMs =
-                (long) (2 * settings.inventoryLagS() * 1000)
-                        + MachineConstants.INVENTORY_LAG_MARGIN_MS;
+        long minAgeMs = minListedAgeMs();
         for (Machine machine : new ArrayList<>(shard.machines().values())) {
             if (!isListed(machine.id())
-                    && requestedAt.wallMs() - machine.provisionedWallMs() > maxListDelayMs) {
+                    && requestedAt.wallMs() - machine.provisionedWallMs() > minAgeMs) {
                 lifecycle.removeTerminated(machine, RemovalReason.NOT_LISTED);
             }
         }
     }
 
+    /**
+     * Age in ms from which on a machine is certainly in a list, unless it has been terminated. A
+     * list shows a state that is at most twice the inventory's lag old. The time at which the
+     * machine was provisioned may come from the clock of a previous leader.
+     */
+    private long minListedAgeMs() {
+        return (long) (2 * settings.inventoryLagS() * 1000)
+                + 2 * settings.maxClockOffsetMs()
+                + MachineConstants.INVENTORY_LAG_MARGIN_MS;
+    }
+
     /**
      * Adopts a listed machine without a record once it has been listed for so long that no reply to
      * a provision request for it can still arrive. A machine considered terminated must have been
--- a/src/main/java/org/shoreusher/core/machine/MachineConstants.java
+++ b/src/main/java/org/shoreusher/core/machine/MachineConstants.java
@@ -121,7 +121,9 @@
 
     /**
      * ms; margin added to twice the inventory's lag. A machine that was provisioned longer ago than
-     * that and is not listed has been terminated.
+     * that and is not listed has been terminated. Longer than a leader's lease: a leader of a
+     * previous version recorded when it sent the provision request, and may have paused until the
+     * reply arrived.
      */
-    static final long INVENTORY_LAG_MARGIN_MS = 3_000;
+    static final long INVENTORY_LAG_MARGIN_MS = 10_000;
 }
--- a/src/main/java/org/shoreusher/core/machine/MachineLifecycle.java
+++ b/src/main/java/org/shoreusher/core/machine/MachineLifecycle.java
@@ -64,8 +64,7 @@
      * schedules the write of its record.
      *
      * @param type null if the machine's type is not in the catalog; then nothing is added
-     * @param provisionedWallMs wall-clock ms at which it was requested; for an adopted machine,
-     *     computed from its age in the cloud's list
+     * @param provisionedWallMs wall-clock ms by which the cloud had certainly provisioned it
      * @return the machine; null if {@code type} is null
      */
     public Machine addNewMachine(
@@ -81,12 +80,13 @@
     }
 
     /**
-     * Adds a machine that the cloud has provisioned, unless the shard already has it, it has been
-     * terminated, or this node's leadership is lost.
+     * Adds a machine of a provision request whose reply has just arrived, unless the shard already
+     * has it, it has been terminated, or this node's leadership is lost.
      *
-     * @param requestedWallMs wall-clock ms at which the request was sent
+     * <p>The machine counts as provisioned now, not when the request was sent: the cloud may have
+     * executed the request at any time before its reply.
      */
-    void addProvisioned(String id, CloudOperation.Provision request, long requestedWallMs) {
+    void addProvisioned(String id, CloudOperation.Provision request) {
         if (!authority.isLeadershipLost()
                 && !shard.machines().containsKey(id)
                 && !terminatedMachines.contains(id)) {
@@ -95,7 +95,7 @@
                     typeCatalog.get(request.type()),
                     request.zone(),
                     request.spot(),
-                    requestedWallMs);
+                    outbox.now().wallMs());
         }
     }
 
--- a/src/main/java/org/shoreusher/core/machine/ScaleOut.java
+++ b/src/main/java/org/shoreusher/core/machine/ScaleOut.java
@@ -36,7 +36,6 @@
         final CloudOperation.Provision request;
         final MachineCapacity capacityPerMachine;
         boolean inFlight;
-        long requestedWallMs;
 
         PendingRequest(CloudOperation.Provision request, MachineCapacity capacityPerMachine) {
             this.request = request;
@@ -157,7 +156,6 @@
         }
         for (PendingRequest pendingRequest : pendingRequests) {
             if (!pendingRequest.inFlight) {
-                pendingRequest.requestedWallMs = outbox.now().wallMs();
                 pendingRequest.inFlight =
                         outbox.callCloud(
                                 pendingRequest.request,
@@ -194,7 +192,7 @@
             onAllCompleted.run();
         }
         if (reply.status() == ReplyStatus.OK) {
-            handleProvisioned(request, kind, reply, pendingRequest.requestedWallMs);
+            handleProvisioned(request, kind, reply);
         } else if (outOfCapacity) {
             markUnavailable(kind);
         } else {
@@ -211,10 +209,7 @@
     }
 
     private void handleProvisioned(
-            CloudOperation.Provision request,
-            MachineKind kind,
-            CloudReply reply,
-            long requestedWallMs) {
+            CloudOperation.Provision request, MachineKind kind, CloudReply reply) {
         try {
             List<String> machineIds = CloudFormat.readMachineIds(new FieldMap(reply.body()));
             outbox.log(
@@ -229,7 +224,7 @@
                 markUnavailable(kind);
             }
             for (String id : machineIds) {
-                lifecycle.addProvisioned(id, request, requestedWallMs);
+                lifecycle.addProvisioned(id, request);
             }
         } catch (FieldMap.InvalidFieldException e) {
             outbox.log(
--- a/src/main/java/org/shoreusher/core/store/MachineRecord.java
+++ b/src/main/java/org/shoreusher/core/store/MachineRecord.java
@@ -7,7 +7,8 @@
  * @param type the name of its machine type
  * @param zone its zone
  * @param spot whether it is a spot machine
- * @param provisionedWallMs when it was provisioned, in wall-clock ms
+ * @param provisionedWallMs when it had certainly been provisioned, in wall-clock ms; previous
+ *     versions recorded when they sent the request
  * @param mayHaveRunTasks whether tasks may have been started on it; written before the first start
  */
 public record MachineRecord(
--- a/src/test/java/org/shoreusher/simulation/SimulatedCloud.java
+++ b/src/test/java/org/shoreusher/simulation/SimulatedCloud.java
@@ -45,6 +45,12 @@
     /** Whether machines boot within 2 s rather than 8.5 s. */
     boolean fastBoots;
 
+    /** Whether the inventory always lags by twice its nominal lag rather than by a random time. */
+    boolean hasLongestLag;
+
+    private long provisioningDelayedUntilMs;
+    private long maxProvisioningDelayMs;
+
     SimulatedCloud(ClusterSimulation simulation, int capacity) {
         this.simulation = simulation;
         this.capacity = capacity;
@@ -60,6 +66,12 @@
         outageUntilMs = simulation.nowMs + durationMs;
     }
 
+    /** Carries out each provision request up to this late, for a while. */
+    void delayProvisioning(long maxDelayMs, long durationMs) {
+        maxProvisioningDelayMs = maxDelayMs;
+        provisioningDelayedUntilMs = simulation.nowMs + durationMs;
+    }
+
     Iterable<SimulatedWorker> machines() {
         return new ArrayList<>(machines.values());
     }
@@ -109,7 +121,10 @@
 
     /** A page of the inventory. Its snapshot may be older than that of the previous page. */
     private Map<String, Object> page(String afterMachineId) {
-        long lagMs = (long) (inventoryLagMs() * 2 * simulation.random.nextDouble());
+        long lagMs =
+                hasLongestLag
+                        ? 2 * inventoryLagMs()
+                        : (long) (inventoryLagMs() * 2 * simulation.random.nextDouble());
         List<Object> list = snapshots.floorEntry(Math.max(0, simulation.nowMs - lagMs)).getValue();
         int first = 0;
         while (afterMachineId != null
@@ -140,6 +155,10 @@
                 }
             }
             onReply.accept(ReplyStatus.OK, Map.of());
+        } else if (simulation.nowMs < provisioningDelayedUntilMs) {
+            simulation.scheduleAfter(
+                    (long) (maxProvisioningDelayMs * simulation.random.nextDouble()),
+                    () -> provision((CloudOperation.Provision) operation, onReply));
         } else {
             provision((CloudOperation.Provision) operation, onReply);
         }
--- a/src/test/java/org/shoreusher/simulation/SingleNodeSimulation.java
+++ b/src/test/java/org/shoreusher/simulation/SingleNodeSimulation.java
@@ -2,7 +2,9 @@
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 
+import java.util.ArrayDeque;
 import java.util.ArrayList;
+import java.util.Deque;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
@@ -31,10 +33,16 @@
     /** The term that begins when the node first acquires that shard. */
     static final long TERM = 6;
 
-    /** The cloud's reply to an operation; by default status 0, which means no reply. */
+    /**
+     * The cloud's reply to an operation; by default status 0, which means no reply. An operation
+     * for which it returns null stays without a result until {@link #replyToHeldCloudCall}.
+     */
     Function<CloudOperation, Command.CloudReply> cloud =
             operation -> new Command.CloudReply(0, 0, null);
 
+    /** The cloud calls without a result, in the order in which they were sent. */
+    private final Deque<Effect.CloudCall> heldCloudCalls = new ArrayDeque<>();
+
     private final ClusterSimulation simulation;
     private final Node node;
     private final List<Command> commands = new ArrayList<>();
@@ -84,9 +92,7 @@
                                                     status,
                                                     ClusterSimulation.deepCopy(body))));
                 } else if (effect instanceof Effect.CloudCall call) {
-                    Command.CloudReply reply = cloud.apply(call.operation());
-                    commands.add(
-                            new Command.CloudReply(call.callId(), reply.status(), reply.body()));
+                    replyToCloudCall(call);
                 } else if (effect instanceof Effect.Log logLine) {
                     log.add(nowMs, "node-0", logLine.event());
                 } else if (effect instanceof Effect.Respond response) {
@@ -96,6 +102,25 @@
         }
     }
 
+    private void replyToCloudCall(Effect.CloudCall call) {
+        Command.CloudReply reply = cloud.apply(call.operation());
+        if (reply == null) {
+            heldCloudCalls.add(call);
+        } else {
+            commands.add(new Command.CloudReply(call.callId(), reply.status(), reply.body()));
+        }
+    }
+
+    /** Whether a cloud call has no result yet. */
+    boolean hasHeldCloudCall() {
+        return !heldCloudCalls.isEmpty();
+    }
+
+    /** Passes the reply to the oldest cloud call without a result to the next step. */
+    void replyToHeldCloudCall(int status, Map<String, Object> body) {
+        commands.add(new Command.CloudReply(heldCloudCalls.remove().callId(), status, body));
+    }
+
     /**
      * Sends a heartbeat of the first incarnation, and returns the tasks that the response starts.
      */
