A command or an effect that fails with an exception affects no other

Cause: Controller carried out the effects of a batch one after the other, and an exception in one lost all after it: responses, calls whose reply the core awaits, gossip. After an exception in the core the batch was not cleared, so that the failed command would have been handled again with every later one.

Change: CommandLoop (out of Controller) isolates them. A request whose command or response fails gets 500, a store or cloud call that fails gets its reply (none, as if it had been lost), and internal_error is logged with the stack trace. Node reports which command of a batch failed and does not hide the exception, so simulations fail as before.

--- a/src/main/java/org/shoreusher/cli/Controller.java
+++ b/src/main/java/org/shoreusher/cli/Controller.java
@@ -2,10 +2,7 @@
 
 import io.netty.channel.EventLoop;
 import io.netty.channel.nio.NioEventLoopGroup;
-import java.util.ArrayList;
-import java.util.List;
 import java.util.concurrent.TimeUnit;
-import org.agrona.concurrent.ManyToOneConcurrentArrayQueue;
 import org.shoreusher.cloud.CloudClient;
 import org.shoreusher.core.Node;
 import org.shoreusher.core.message.ClockReading;
@@ -26,25 +23,23 @@
 import org.slf4j.LoggerFactory;
 
 /**
- * A running controller. Adapters put commands into a queue; the core processes them in batches and
- * returns effects, which the adapters carry out. All of it runs on one event loop.
+ * A running controller: connects the core to its adapters. Adapters put commands into a queue; the
+ * core processes them in batches and returns effects, which the adapters carry out. All of it runs
+ * on one event loop; see {@link CommandLoop}.
  */
-final class Controller {
+final class Controller implements CommandLoop.Adapters {
     private static final Logger LOG = LoggerFactory.getLogger("shoreusher");
 
     private final Settings settings;
-    private final Node node;
     private final NioEventLoopGroup group = new NioEventLoopGroup(1);
     private final EventLoop loop = group.next();
-    private final ManyToOneConcurrentArrayQueue<Command> commandQueue;
-    private final List<Command> batch = new ArrayList<>(ControllerConstants.MAX_COMMANDS_PER_BATCH);
+    private final CommandLoop commandLoop;
     private final StoreClient store;
     private final CloudClient cloud;
     private final WorkerClient workers;
     private final GossipTransport gossip;
     private final StandbyTransport standby;
     private final HttpFrontend frontend;
-    private boolean batchScheduled;
     private long lastTickMs;
     private long lastTickDelayMs;
 
@@ -55,18 +50,22 @@
      */
     Controller(Settings settings, Features features, String processName) {
         this.settings = settings;
-        commandQueue =
-                new ManyToOneConcurrentArrayQueue<>(
+        Node node = new Node(settings, features, processName, ControllerConstants.SHARD_COUNT);
+        commandLoop =
+                new CommandLoop(
+                        loop,
+                        () -> new ClockReading(monotonicMs(), System.currentTimeMillis()),
+                        node::step,
+                        this,
                         Math.max(
                                 ControllerConstants.MIN_COMMAND_QUEUE_CAPACITY,
                                 settings.maxSockets()));
-        node = new Node(settings, features, processName, ControllerConstants.SHARD_COUNT);
-        store = new StoreClient(loop, settings, this::enqueueReply);
-        cloud = new CloudClient(loop, settings, this::enqueueReply);
+        store = new StoreClient(loop, settings, commandLoop::enqueueReply);
+        cloud = new CloudClient(loop, settings, commandLoop::enqueueReply);
         workers = new WorkerClient(loop);
-        gossip = new GossipTransport(group, settings, this::offer);
+        gossip = new GossipTransport(group, settings, commandLoop::offer);
         standby = new StandbyTransport(group, settings);
-        frontend = new HttpFrontend(group, settings, this::offer, this::eventLoopDelayMs);
+        frontend = new HttpFrontend(group, settings, commandLoop::offer, this::eventLoopDelayMs);
     }
 
     /**
@@ -119,7 +118,7 @@
         long now = monotonicMs();
         lastTickDelayMs = Math.max(0, now - lastTickMs - ControllerConstants.TICK_INTERVAL_MS);
         lastTickMs = now;
-        offer(new Command.Tick());
+        commandLoop.offer(new Command.Tick());
     }
 
     /**
@@ -135,48 +134,8 @@
         return TimeUnit.NANOSECONDS.toMillis(System.nanoTime());
     }
 
-    /** Enqueues a command; returns false if the queue is full. */
-    private boolean offer(Command command) {
-        if (!commandQueue.offer(command)) {
-            return false;
-        }
-        scheduleBatch();
-        return true;
-    }
-
-    /**
-     * Enqueues a reply to a call of the core. The core waits for every reply, so commands of a full
-     * queue are processed first, and the reply is never rejected.
-     */
-    private void enqueueReply(Command command) {
-        while (!commandQueue.offer(command)) {
-            runBatch();
-        }
-        scheduleBatch();
-    }
-
-    private void scheduleBatch() {
-        if (!batchScheduled) {
-            batchScheduled = true;
-            loop.execute(this::runBatch);
-        }
-    }
-
-    private void runBatch() {
-        batchScheduled = false;
-        commandQueue.drainTo(batch, ControllerConstants.MAX_COMMANDS_PER_BATCH);
-        List<Effect> effects =
-                node.step(new ClockReading(monotonicMs(), System.currentTimeMillis()), batch);
-        batch.clear();
-        for (Effect effect : effects) {
-            perform(effect);
-        }
-        if (!commandQueue.isEmpty()) {
-            scheduleBatch();
-        }
-    }
-
-    private void perform(Effect effect) {
+    @Override
+    public void perform(Effect effect) {
         if (effect instanceof Effect.Respond respond) {
             frontend.respond(respond);
         } else if (effect instanceof Effect.StoreCall storeCall) {
@@ -193,4 +152,9 @@
             EventLogger.log(LOG, log.event());
         }
     }
+
+    @Override
+    public void respondInternalError(long requestId) {
+        frontend.respondInternalError(requestId);
+    }
 }
--- a/src/main/java/org/shoreusher/core/Node.java
+++ b/src/main/java/org/shoreusher/core/Node.java
@@ -94,12 +94,19 @@
      *     calls
      * @param batch the commands in order of arrival; may be empty
      * @return the effects, to be carried out immediately and in order
+     * @throws CommandFailedException if the handling of a command fails; the effects so far are
+     *     returned by the next call
      */
     public List<Effect> step(ClockReading now, List<Command> batch) {
         outbox.setNow(now);
         peerGossip.recordStart();
-        for (Command command : batch) {
-            handle(command);
+        for (int index = 0; index < batch.size(); index++) {
+            Command command = batch.get(index);
+            try {
+                handle(command);
+            } catch (RuntimeException e) {
+                throw new CommandFailedException(command, index, e);
+            }
         }
         storeCache.step();
         versionNegotiation.step();
--- a/src/main/java/org/shoreusher/core/message/Command.java
+++ b/src/main/java/org/shoreusher/core/message/Command.java
@@ -10,6 +10,12 @@
  */
 public sealed interface Command {
 
+    /** A request, to which the node responds. */
+    sealed interface Request extends Command {
+        /** The id of the request. */
+        long requestId();
+    }
+
     /**
      * A user submits a job.
      *
@@ -20,7 +26,7 @@
      * @param validationError why the body was invalid; null if it was valid
      */
     record Submit(long requestId, String jobId, JobSpec spec, String validationError)
-            implements Command {}
+            implements Request {}
 
     /**
      * A user requests the state of a job.
@@ -28,7 +34,7 @@
      * @param requestId the id of the request
      * @param jobId the job's id
      */
-    record Poll(long requestId, String jobId) implements Command {}
+    record Poll(long requestId, String jobId) implements Request {}
 
     /**
      * A user cancels a job.
@@ -36,14 +42,14 @@
      * @param requestId the id of the request
      * @param jobId the job's id
      */
-    record Cancel(long requestId, String jobId) implements Command {}
+    record Cancel(long requestId, String jobId) implements Request {}
 
     /**
      * The load balancer checks whether this node can serve requests.
      *
      * @param requestId the id of the request
      */
-    record ReadinessCheck(long requestId) implements Command {}
+    record ReadinessCheck(long requestId) implements Request {}
 
     /**
      * A worker sends a heartbeat.
@@ -51,7 +57,7 @@
      * @param requestId the id of the request
      * @param workerHeartbeat the content of the heartbeat
      */
-    record Heartbeat(long requestId, WorkerHeartbeat workerHeartbeat) implements Command {}
+    record Heartbeat(long requestId, WorkerHeartbeat workerHeartbeat) implements Request {}
 
     /**
      * The key-value store replied to a call, or the call failed.
--- a/src/main/java/org/shoreusher/log/EventLogger.java
+++ b/src/main/java/org/shoreusher/log/EventLogger.java
@@ -11,14 +11,21 @@
     /** Logs an event at the level of its type. */
     public static void log(Logger logger, LogEvent event) {
         Level level = event.type().isDebugOnly() ? Level.DEBUG : Level.INFO;
-        if (!logger.isEnabledForLevel(level)) {
-            return;
+        if (logger.isEnabledForLevel(level)) {
+            addFields(logger.atLevel(level), event).log("");
         }
-        LoggingEventBuilder line =
-                logger.atLevel(level).addKeyValue("event", event.type().eventName());
+    }
+
+    /** Logs an event at the error level, with the stack trace of its cause. */
+    public static void logError(Logger logger, LogEvent event, Throwable cause) {
+        addFields(logger.atError(), event).setCause(cause).log("");
+    }
+
+    private static LoggingEventBuilder addFields(LoggingEventBuilder line, LogEvent event) {
+        LoggingEventBuilder builder = line.addKeyValue("event", event.type().eventName());
         for (LogEvent.Field field : event.fields()) {
-            line = line.addKeyValue(field.name(), field.text());
+            builder = builder.addKeyValue(field.name(), field.text());
         }
-        line.log("");
+        return builder;
     }
 }
--- a/src/main/java/org/shoreusher/log/LogEventType.java
+++ b/src/main/java/org/shoreusher/log/LogEventType.java
@@ -60,6 +60,8 @@
     ATTEMPT_LOG_CONTRADICTED,
     /** A connection was closed because another node sent a message that is not valid. */
     PEER_MESSAGE_INVALID,
+    /** A command or an effect failed with an exception; a fault of the program. */
+    INTERNAL_ERROR,
     /** Machines, CPUs and pending tasks of a shard. */
     SHARD_STATUS(true),
     /** Connections and memory of the process. */
--- a/src/main/java/org/shoreusher/user/HttpFrontend.java
+++ b/src/main/java/org/shoreusher/user/HttpFrontend.java
@@ -94,15 +94,15 @@
                 .sync();
     }
 
-    /** Writes the core's response; does nothing if the connection has been closed. */
+    /**
+     * Writes the core's response; does nothing if the connection has been closed. If the response
+     * cannot be encoded, the request stays pending.
+     */
     public void respond(Effect.Respond effect) {
-        PendingRequest request = pendingRequests.remove(effect.requestId());
+        PendingRequest request = pendingRequests.get(effect.requestId());
         if (request == null) {
             return;
         }
-        if (request.fromUser()) {
-            recordLatency(request);
-        }
         Response response = effect.response();
         ResponseWriter.write(
                 request.context(),
@@ -110,6 +110,22 @@
                 HttpResponseStatus.valueOf(ResponseFormat.statusCode(response)),
                 ResponseFormat.body(response),
                 ResponseFormat.retryAfterS(response));
+        pendingRequests.remove(effect.requestId());
+        if (request.fromUser()) {
+            recordLatency(request);
+        }
+    }
+
+    /** Responds with status 500 to a request that failed; does nothing if it is not pending. */
+    public void respondInternalError(long requestId) {
+        PendingRequest request = pendingRequests.remove(requestId);
+        if (request != null) {
+            ResponseWriter.writeError(
+                    request.context(),
+                    request.keepAlive(),
+                    HttpResponseStatus.INTERNAL_SERVER_ERROR,
+                    "the request failed because of an internal error");
+        }
     }
 
     private void recordLatency(PendingRequest request) {
