Heartbeats whose machine id cannot be part of a key of the store get 400

What callers would see: a machine id with a space, or so long that its key has more than 200 bytes, has the store reject the write that contains its record, with 400. The records of the other machines in that write are not written either, and the write is repeated with the same machine, so no new machine gets a task.

Change: WorkerFormat accepts as machine id only visible ASCII characters, at most 100 of them.

Result: FormatsTest.rejectsMachineIdsThatCannotBePartOfAKey, seen to fail on the sources before.

--- a/src/main/java/org/shoreusher/core/message/MessageConstants.java
+++ b/src/main/java/org/shoreusher/core/message/MessageConstants.java
@@ -18,6 +18,11 @@
         return MIN_RETRY_AFTER_S + (int) (requestId % RETRY_AFTER_JITTER_S);
     }
 
+    /**
+     * Characters; maximum length of a machine id, half of the store's limit on the length of a key.
+     */
+    static final int MAX_MACHINE_ID_LENGTH = 100;
+
     /** Maximum number of tasks in a job; set by the protocol. */
     public static final int MAX_TASKS_PER_JOB = 100_000;
 
--- a/src/main/java/org/shoreusher/core/message/WorkerHeartbeat.java
+++ b/src/main/java/org/shoreusher/core/message/WorkerHeartbeat.java
@@ -30,6 +30,19 @@
         long fencingToken,
         double interruptionNoticeS,
         List<TaskStatus> tasks) {
+    private static final char FIRST_VISIBLE_CHARACTER = '!';
+    private static final char LAST_VISIBLE_CHARACTER = '~';
+
+    /**
+     * Whether a text can be a machine id: visible ASCII characters without spaces, so that it can
+     * be part of a key of the key-value store.
+     */
+    public static boolean isValidMachineId(String id) {
+        return !id.isEmpty()
+                && id.length() <= MessageConstants.MAX_MACHINE_ID_LENGTH
+                && id.chars()
+                        .allMatch(c -> c >= FIRST_VISIBLE_CHARACTER && c <= LAST_VISIBLE_CHARACTER);
+    }
 
     /** The states of a task on its machine. */
     public enum TaskState {
--- a/src/main/java/org/shoreusher/wire/WorkerFormat.java
+++ b/src/main/java/org/shoreusher/wire/WorkerFormat.java
@@ -30,8 +30,13 @@
         for (FieldMap taskFields : heartbeat.maps("sheets")) {
             tasks.add(readTaskStatus(taskFields));
         }
+        String machineId = heartbeat.text("box");
+        if (!WorkerHeartbeat.isValidMachineId(machineId)) {
+            throw new FieldMap.InvalidFieldException(
+                    "box must be a machine id of visible ASCII characters, like host-000231");
+        }
         return new WorkerHeartbeat(
-                heartbeat.text("box"),
+                machineId,
                 heartbeat.textOr("addr", ""),
                 heartbeat.text("press"),
                 heartbeat.text("yard"),
--- a/src/test/java/org/shoreusher/wire/FormatsTest.java
+++ b/src/test/java/org/shoreusher/wire/FormatsTest.java
@@ -257,6 +257,38 @@
                 parsed.tasks());
     }
 
+    /**
+     * The store rejects a key with a space or of more than 200 bytes, and with it the records of
+     * all machines in the same write.
+     */
+    @Example
+    void rejectsMachineIdsThatCannotBePartOfAKey() {
+        for (String id :
+                List.of("", "host 1", "host-1 ", "host\n1", "host-\u00e9", "h".repeat(101))) {
+            Map<String, Object> heartbeat =
+                    Map.of("box", id, "press", "t", "yard", "a", "shift", 1L, "tally", 1L);
+            assertThrows(
+                    FieldMap.InvalidFieldException.class,
+                    () -> WorkerFormat.readHeartbeat(new FieldMap(heartbeat)),
+                    id);
+        }
+        assertDoesNotThrow(
+                () ->
+                        WorkerFormat.readHeartbeat(
+                                new FieldMap(
+                                        Map.of(
+                                                "box",
+                                                "host-000231",
+                                                "press",
+                                                "t",
+                                                "yard",
+                                                "a",
+                                                "shift",
+                                                1L,
+                                                "tally",
+                                                1L))));
+    }
+
     @Example
     void encodesOrdersInTheWorkerFormat() {
         List<WorkerOrder> orders =
