Text that is not UTF-8 is rejected, and a call that cannot be encoded still ends

Cause: the CBOR parser accepts text that is not UTF-8, and the encoder rejects half a surrogate pair. The write of such a job threw an exception where nothing caught it: its call never got the reply that lowers the number of writes in flight, and with two writes lost the limit was reached for good.

Change: CborTextValidator rejects text that is not UTF-8 in any message, MapDecoder half a surrogate pair in files. HttpCaller completes a call that cannot be encoded like any other that is not sent, and counts it only when it can be sent.

--- a/src/main/java/org/shoreusher/cli/ControllerSmokeCheck.java
+++ b/src/main/java/org/shoreusher/cli/ControllerSmokeCheck.java
@@ -85,13 +85,22 @@
         }
     }
 
+    /**
+     * Waits until the controller is ready.
+     *
+     * @throws IllegalStateException if that is not observed in time
+     */
+    void awaitReady() throws InterruptedException {
+        await("the controller is ready", () -> call("/ready", null).isOk());
+    }
+
     /**
      * Runs all steps. The controller may still be starting.
      *
      * @throws IllegalStateException at the first step that is not observed in time
      */
     void run() throws InterruptedException {
-        await("the controller is ready", () -> call("/ready", null).isOk());
+        awaitReady();
         for (int i = 1; i <= BATCH_JOBS; i++) {
             submit(job("wk-00000" + i, "sweep", 5));
         }
@@ -152,7 +161,8 @@
         }
     }
 
-    private static Map<String, Object> job(String id, String shape, double runtimeS) {
+    /** A submission of one task. */
+    static Map<String, Object> job(String id, String shape, double runtimeS) {
         Map<String, Object> job =
                 new HashMap<>(
                         Map.of(
--- a/src/main/java/org/shoreusher/net/HttpCaller.java
+++ b/src/main/java/org/shoreusher/net/HttpCaller.java
@@ -24,14 +24,20 @@
 import java.util.Map;
 import java.util.concurrent.TimeUnit;
 import org.shoreusher.core.message.ReplyStatus;
+import org.shoreusher.log.EventLogger;
+import org.shoreusher.log.LogEvent;
+import org.shoreusher.log.LogEventType;
 import org.shoreusher.settings.Settings.Address;
 import org.shoreusher.wire.FieldMap;
+import org.shoreusher.wire.MessageEncodingException;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
 
 /**
  * HTTP client for one target, with a pool of persistent connections and one request at a time on
  * each. Every call completes exactly once: with the response, or with {@link ReplyStatus#NO_REPLY}
- * after a failure or timeout, which also closes the connection. Not thread-safe: all methods must
- * run on the event loop.
+ * after a failure or timeout, which also closes the connection, or if its body cannot be encoded.
+ * Not thread-safe: all methods must run on the event loop.
  */
 public final class HttpCaller {
     /** Receives the result of a call. */
@@ -46,6 +52,8 @@
         void onResponse(int status, Map<String, Object> body);
     }
 
+    private static final Logger LOG = LoggerFactory.getLogger("shoreusher");
+
     private final Address target;
     private final Bootstrap bootstrap;
     private final EventLoop loop;
@@ -80,8 +88,9 @@
     }
 
     /**
-     * Sends a request: a GET if the body is null, else a POST. The call completes immediately with
-     * {@link ReplyStatus#NO_REPLY} if too many calls are in flight.
+     * Sends a request: a GET if the body is null, else a POST. The call completes without being
+     * sent, with {@link ReplyStatus#NO_REPLY}, if too many calls are in flight or the body cannot
+     * be encoded.
      *
      * @param path path and query
      * @param body the body, to be encoded as CBOR
@@ -90,12 +99,23 @@
     public void call(
             String path, Map<String, Object> body, long timeoutMs, ResponseHandler handler) {
         if (callsInFlight >= NetConstants.MAX_CALLS_PER_TARGET) {
-            loop.execute(() -> handler.onResponse(ReplyStatus.NO_REPLY, null));
+            completeUnsent(handler);
+            return;
+        }
+        FullHttpRequest request;
+        try {
+            request = newRequest(path, body);
+        } catch (MessageEncodingException e) {
+            EventLogger.log(
+                    LOG,
+                    LogEvent.of(LogEventType.INTERNAL_ERROR)
+                            .with("during", "encode_request")
+                            .with("problem", e.getMessage()));
+            completeUnsent(handler);
             return;
         }
         callsInFlight++;
         PendingCall call = new PendingCall(handler);
-        FullHttpRequest request = newRequest(path, body);
         Connection connection = takeIdleConnection();
         if (connection != null) {
             connection.send(call, request, timeoutMs);
@@ -104,6 +124,11 @@
         }
     }
 
+    /** Completes a call later, so that the handler never runs within the call itself. */
+    private void completeUnsent(ResponseHandler handler) {
+        loop.execute(() -> handler.onResponse(ReplyStatus.NO_REPLY, null));
+    }
+
     private FullHttpRequest newRequest(String path, Map<String, Object> body) {
         FullHttpRequest request =
                 body == null
--- a/src/main/java/org/shoreusher/wire/FieldMap.java
+++ b/src/main/java/org/shoreusher/wire/FieldMap.java
@@ -86,7 +86,9 @@
      */
     public static FieldMap parseCbor(byte[] body) throws IOException {
         try (JsonParser parser = CBOR.createParser(body)) {
-            return MapDecoder.decode(parser);
+            FieldMap fields = MapDecoder.decode(parser);
+            CborTextValidator.validate(body);
+            return fields;
         }
     }
 
@@ -116,7 +118,8 @@
     /**
      * Encodes a map as CBOR.
      *
-     * @throws IllegalStateException if a value has a type that messages cannot contain
+     * @throws MessageEncodingException if a value has a type, or a text has characters, that
+     *     messages cannot contain
      */
     public static byte[] toCbor(Map<String, ?> map) {
         return MapEncoder.encode(CBOR, map);
--- a/src/main/java/org/shoreusher/wire/MapDecoder.java
+++ b/src/main/java/org/shoreusher/wire/MapDecoder.java
@@ -32,7 +32,7 @@
         return switch (parser.currentToken()) {
             case START_OBJECT -> readMap(parser);
             case START_ARRAY -> readList(parser);
-            case VALUE_STRING -> parser.getText();
+            case VALUE_STRING -> requireValidText(parser.getText());
             case VALUE_NUMBER_INT -> readInteger(parser);
             case VALUE_NUMBER_FLOAT -> parser.getDoubleValue();
             case VALUE_TRUE -> true;
@@ -48,7 +48,7 @@
     private static Map<String, Object> readMap(JsonParser parser) throws IOException {
         Map<String, Object> map = new LinkedHashMap<>();
         while (parser.nextToken() == JsonToken.FIELD_NAME) {
-            String name = parser.currentName();
+            String name = requireValidText(parser.currentName());
             parser.nextToken();
             map.put(name, readValue(parser));
         }
@@ -69,6 +69,26 @@
         return list;
     }
 
+    /**
+     * Returns the text unless it contains half a surrogate pair, as an escape sequence in JSON or
+     * TOML can. Such a text can't be encoded again.
+     */
+    private static String requireValidText(String text) throws IOException {
+        for (int i = 0; i < text.length(); i++) {
+            char c = text.charAt(i);
+            boolean isPair =
+                    Character.isHighSurrogate(c)
+                            && i + 1 < text.length()
+                            && Character.isLowSurrogate(text.charAt(i + 1));
+            if (isPair) {
+                i++;
+            } else if (Character.isSurrogate(c)) {
+                throw new IOException("a text contains half a surrogate pair");
+            }
+        }
+        return text;
+    }
+
     private static Object readInteger(JsonParser parser) throws IOException {
         if (parser.getNumberType() == JsonParser.NumberType.BIG_INTEGER) {
             return parser.getBigIntegerValue();
--- a/src/main/java/org/shoreusher/wire/MapEncoder.java
+++ b/src/main/java/org/shoreusher/wire/MapEncoder.java
@@ -16,15 +16,15 @@
     /**
      * Encodes a map.
      *
-     * @throws IllegalStateException if a value has a type that messages cannot contain
+     * @throws MessageEncodingException if a value has a type, or a text has characters, that
+     *     messages cannot contain
      */
     static byte[] encode(JsonFactory format, Map<String, ?> map) {
         ByteArrayOutputStream output = new ByteArrayOutputStream(INITIAL_BUFFER_BYTES);
         try (JsonGenerator generator = format.createGenerator(output)) {
             writeValue(generator, map);
         } catch (IOException e) {
-            throw new IllegalStateException(
-                    "cannot encode a message as " + format.getFormatName(), e);
+            throw new MessageEncodingException(format.getFormatName(), e);
         }
         return output.toByteArray();
     }
--- a/src/test/java/org/shoreusher/net/ConnectionsTest.java
+++ b/src/test/java/org/shoreusher/net/ConnectionsTest.java
@@ -11,9 +11,11 @@
 import java.nio.charset.StandardCharsets;
 import java.util.List;
 import java.util.Map;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import net.jqwik.api.Example;
 import org.shoreusher.core.message.Effect;
+import org.shoreusher.core.message.ReplyStatus;
 import org.shoreusher.core.message.WorkerOrder;
 import org.shoreusher.settings.Settings;
 import org.shoreusher.settings.SharedConstants;
@@ -138,6 +140,52 @@
         }
     }
 
+    /**
+     * A call whose body cannot be encoded gets no reply, like one that cannot be sent. When it was
+     * counted as in flight forever, later calls failed.
+     */
+    @Example
+    void callsWithAnInvalidBodyGetNoReplyAndBlockNothing() throws Exception {
+        NioEventLoopGroup group = new NioEventLoopGroup(1);
+        try (ServerSocket server = new ServerSocket(0, 10, InetAddress.getLoopbackAddress())) {
+            server.setSoTimeout(SOCKET_TIMEOUT_MS);
+            HttpCaller caller =
+                    new HttpCaller(
+                            group.next(), new Settings.Address("127.0.0.1", server.getLocalPort()));
+            for (int i = 0; i <= NetConstants.MAX_CALLS_PER_TARGET; i++) {
+                assertEquals(
+                        ReplyStatus.NO_REPLY,
+                        call(group, caller, Map.of("text", "\ud83d"))
+                                .get(SOCKET_TIMEOUT_MS, TimeUnit.MILLISECONDS));
+            }
+            CompletableFuture<Integer> status = call(group, caller, Map.of("text", "valid"));
+            try (Socket socket = server.accept()) {
+                assertTrue(socket.getInputStream().read(new byte[4_096]) > 0);
+                socket.getOutputStream()
+                        .write(
+                                "HTTP/1.1 200 OK\r\ncontent-length: 0\r\n\r\n"
+                                        .getBytes(StandardCharsets.US_ASCII));
+                assertEquals(ReplyStatus.OK, status.get(SOCKET_TIMEOUT_MS, TimeUnit.MILLISECONDS));
+            }
+        } finally {
+            group.shutdownGracefully(0, 1, TimeUnit.SECONDS);
+        }
+    }
+
+    private static CompletableFuture<Integer> call(
+            NioEventLoopGroup group, HttpCaller caller, Map<String, Object> body) {
+        CompletableFuture<Integer> status = new CompletableFuture<>();
+        group.next()
+                .execute(
+                        () ->
+                                caller.call(
+                                        "/multi",
+                                        body,
+                                        SOCKET_TIMEOUT_MS,
+                                        (replyStatus, reply) -> status.complete(replyStatus)));
+        return status;
+    }
+
     private static int freePort() throws Exception {
         try (ServerSocket free = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
             return free.getLocalPort();
