--- a/src/test/java/org/shoreusher/cli/MalformedRequestsTest.java
+++ b/src/test/java/org/shoreusher/cli/MalformedRequestsTest.java
@@ -13,7 +13,6 @@
 import java.util.HexFormat;
 import java.util.Map;
 import net.jqwik.api.Example;
-import org.shoreusher.settings.Features;
 import org.shoreusher.settings.Settings;
 import org.shoreusher.wire.FieldMap;
 
@@ -40,31 +39,17 @@
         try (ControllerSmokeCheck smokeCheck = new ControllerSmokeCheck()) {
             Settings settings =
                     Settings.parse(smokeCheck.settingsJson().getBytes(StandardCharsets.UTF_8));
-            Controller controller = new Controller(settings, Features.NONE, "smoke-check/test");
-            Thread thread = new Thread(() -> run(controller));
-            thread.start();
-            try {
+            try (RunningController controller = new RunningController(settings)) {
                 smokeCheck.awaitReady();
                 for (int i = 0; i < MALFORMED_REQUESTS; i++) {
                     assertEquals(400, post(settings, "/v2/runs", submission(i)));
                     assertEquals(400, post(settings, "/hello", heartbeat(i)));
                 }
                 smokeCheck.run();
-            } finally {
-                controller.stop();
-                thread.join();
             }
         }
     }
 
-    private static void run(Controller controller) {
-        try {
-            controller.run();
-        } catch (InterruptedException exception) {
-            Thread.currentThread().interrupt();
-        }
-    }
-
     private int post(Settings settings, String path, byte[] body)
             throws IOException, InterruptedException {
         HttpRequest request =
--- a/src/test/java/org/shoreusher/simulation/AutoscalerTest.java
+++ b/src/test/java/org/shoreusher/simulation/AutoscalerTest.java
@@ -223,19 +223,7 @@
         List<Object> machineFields = new ArrayList<>();
         for (int i = first; i <= last; i++) {
             machineFields.add(
-                    Map.of(
-                            "name_id",
-                            String.format("host-%06d", i),
-                            "press",
-                            SimulatedCloud.SMALL_TYPE,
-                            "yard",
-                            "a",
-                            "loaners",
-                            true,
-                            "status",
-                            "running",
-                            "age_s",
-                            100.0));
+                    SimulatedCloud.listedMachine(String.format("host-%06d", i), /* ageS= */ 100));
         }
         return reply(ReplyStatus.OK, Map.of("boxes", machineFields, "more", last < machines));
     }
--- a/src/test/java/org/shoreusher/simulation/LateProvisioningTest.java
+++ b/src/test/java/org/shoreusher/simulation/LateProvisioningTest.java
@@ -149,19 +149,7 @@
         long describedMs = node.nowMs - (long) (2 * settings.inventoryLagS() * 1_000);
         boolean isListed = provisionedAtMs <= describedMs && describedMs < terminatedAtMs;
         Map<String, Object> machine =
-                Map.of(
-                        "name_id",
-                        MACHINE,
-                        "press",
-                        SimulatedCloud.SMALL_TYPE,
-                        "yard",
-                        "a",
-                        "loaners",
-                        true,
-                        "status",
-                        "running",
-                        "age_s",
-                        (describedMs - provisionedAtMs) / 1_000.0);
+                SimulatedCloud.listedMachine(MACHINE, (describedMs - provisionedAtMs) / 1_000.0);
         return Map.of("boxes", isListed ? List.of(machine) : List.of(), "more", false);
     }
 
--- a/src/test/java/org/shoreusher/simulation/SimulatedCloud.java
+++ b/src/test/java/org/shoreusher/simulation/SimulatedCloud.java
@@ -98,6 +98,23 @@
         machine.terminate();
     }
 
+    /** The entry of the inventory for a running spot machine of the small type in zone a. */
+    static Map<String, Object> listedMachine(String id, double ageS) {
+        return Map.of(
+                "name_id",
+                id,
+                "press",
+                SMALL_TYPE,
+                "yard",
+                "a",
+                "loaners",
+                true,
+                "status",
+                "running",
+                "age_s",
+                ageS);
+    }
+
     private void takeSnapshot() {
         List<Object> list = new ArrayList<>();
         for (SimulatedWorker machine : machines.values()) {
