--- a/src/test/java/org/shoreusher/cli/ControllerSmokeCheckTest.java
+++ b/src/test/java/org/shoreusher/cli/ControllerSmokeCheckTest.java
@@ -10,9 +10,7 @@
     void serviceRecoversFromAMachineLossAndEndsWhenCancelled() throws Exception {
         try (ControllerSmokeCheck smokeCheck = new ControllerSmokeCheck()) {
             byte[] file = smokeCheck.settingsJson().getBytes(StandardCharsets.UTF_8);
-            try (RunningController controller = new RunningController(Settings.parse(file))) {
-                smokeCheck.run();
-            }
+            RunningController.runDuring(Settings.parse(file), smokeCheck::run);
         }
     }
 }
--- a/src/test/java/org/shoreusher/cli/MalformedRequestsTest.java
+++ b/src/test/java/org/shoreusher/cli/MalformedRequestsTest.java
@@ -39,17 +39,20 @@
         try (ControllerSmokeCheck smokeCheck = new ControllerSmokeCheck()) {
             Settings settings =
                     Settings.parse(smokeCheck.settingsJson().getBytes(StandardCharsets.UTF_8));
-            try (RunningController controller = new RunningController(settings)) {
-                smokeCheck.awaitReady();
-                for (int i = 0; i < MALFORMED_REQUESTS; i++) {
-                    assertEquals(400, post(settings, "/v2/runs", submission(i)));
-                    assertEquals(400, post(settings, "/hello", heartbeat(i)));
-                }
-                smokeCheck.run();
-            }
+            RunningController.runDuring(settings, () -> sendRequests(settings, smokeCheck));
         }
     }
 
+    private void sendRequests(Settings settings, ControllerSmokeCheck smokeCheck)
+            throws IOException, InterruptedException {
+        smokeCheck.awaitReady();
+        for (int i = 0; i < MALFORMED_REQUESTS; i++) {
+            assertEquals(400, post(settings, "/v2/runs", submission(i)));
+            assertEquals(400, post(settings, "/hello", heartbeat(i)));
+        }
+        smokeCheck.run();
+    }
+
     private int post(Settings settings, String path, byte[] body)
             throws IOException, InterruptedException {
         HttpRequest request =
