--- a/review/kit-2/Http.java
+++ b/review/kit-2/Http.java
@@ -249,10 +249,19 @@
         return r;
     }
 
-    static int freePort() throws IOException {
-        try (ServerSocket s = new ServerSocket(0, 1, LOOPBACK)) {
-            return s.getLocalPort();
+    private static final java.util.Random PORTS = new java.util.Random();
+
+    /** A free port below those that the system gives to outgoing connections. */
+    static synchronized int freePort() throws IOException {
+        for (int i = 0; i < 1000; i++) {
+            int port = 12_000 + PORTS.nextInt(18_000);
+            try (ServerSocket s = new ServerSocket(port, 1, LOOPBACK)) {
+                return s.getLocalPort();
+            } catch (IOException e) {
+                // in use
+            }
         }
+        throw new IOException("no free port");
     }
 
     static void closeQuietly(AutoCloseable c) {
