--- a/review/5/run.sh
+++ b/review/5/run.sh
@@ -1,4 +1,4 @@
 #!/bin/sh
 # Exits with 1 if the rule was broken, 0 if it held, 2 if the case could not run.
 cd "$(dirname "$0")/../.." || exit 2
-exec timeout 119 java -cp target/review-2 NewMachineType review/5/record.txt
+exec timeout 119 java -cp target/review-2 CancelBesideStaleLeader review/5/record.txt
--- a/review/kit-2/Checker.java
+++ b/review/kit-2/Checker.java
@@ -24,6 +24,26 @@
         world.log("VIOLATION " + what);
     }
 
+    /** By time since the confirmation of the job's cancellation, in s: start orders given later. */
+    final List<Double> orderedAfterCancellation = new ArrayList<>();
+
+    /** A start order in the answer to a report that was sent at a time. */
+    synchronized void ordered(String sheet, String machine, long reportSentNs) {
+        World.Job job = world.jobOf(sheet);
+        if (job != null && job.cancelledToldNs > 0 && reportSentNs > job.cancelledToldNs) {
+            double s = (reportSentNs - job.cancelledToldNs) / 1e9;
+            orderedAfterCancellation.add(s);
+            world.log(
+                    "start order for "
+                            + sheet
+                            + " to "
+                            + machine
+                            + " in answer to a report sent "
+                            + s
+                            + " s after the confirmed cancellation");
+        }
+    }
+
     synchronized void started(String sheet, long attempt, Worker w) {
         starts++;
         world.record("starts " + sheet + "#" + attempt + " on " + w.id);
--- a/review/kit-2/Worker.java
+++ b/review/kit-2/Worker.java
@@ -304,7 +304,11 @@
         }
         leaseStartNs = Math.max(leaseStartNs, sentNs);
         for (Object o : (List<?>) body.getOrDefault("orders", List.of())) {
-            execute((Map<?, ?>) o);
+            Map<?, ?> order = (Map<?, ?>) o;
+            execute(order);
+            if ("run".equals(order.get("verb"))) {
+                world.checker.ordered((String) order.get("sheet"), id, sentNs);
+            }
         }
     }
 
