--- a/review/kit-2/NewMachineType.java
+++ b/review/kit-2/NewMachineType.java
@@ -16,6 +16,7 @@
         if (!w.awaitReady(30)) {
             return 2;
         }
+        double readyS = w.nowS();
         synchronized (w.cloud) {
             w.cloud.flavors.add(new Cloud.Flavor("octo-drafter", 8, 16, 0.27, 0.05, 2, 1));
         }
@@ -26,7 +27,7 @@
             return 2;
         }
         // The leader reads the types again once a minute.
-        while (w.nowS() < 63) {
+        while (w.nowS() < readyS + 63) {
             w.sleepS(0.5);
         }
         World.Job b = job("wk-000002", 1, 60);
@@ -52,7 +53,7 @@
             w.sleepS(w.restartS);
             w.start(leader);
         }
-        double end = Math.min(w.nowS() + 25, 110);
+        double end = Math.min(w.nowS() + 25, 114);
         while (w.nowS() < end && w.checker.violations.isEmpty()) {
             w.sleepS(1);
             w.pollAny(b);
--- a/review/kit-2/TwoFaultyMachines.java
+++ b/review/kit-2/TwoFaultyMachines.java
@@ -36,7 +36,7 @@
         if (!w.submit(job)) {
             return 2;
         }
-        double end = w.nowS() + 100;
+        double end = Math.min(w.nowS() + 100, 112);
         double lastMachineS = w.nowS();
         int rentals = -1;
         double lastRentalS = 0;
