A cancellation is reported only when no leader can start the job's tasks any more

Cause: any controller writes cancellations, without the leader. The leader acts on its store cache while its lease is valid and the cache is younger than 9 s, so a confirmed cancellation could be missing from it. All answers that tell of a cancellation had the gap: the first response, repetitions, polls and repeated submissions, at every controller.

Change: a controller reports a cancellation only after a leader with a valid lease has acknowledged that it has it in memory, or after it has known it for 10.5 s (largest age of the cache, drift, margin). The notice contains the job's record, so a leader without the store learns of the cancellation too. One acknowledgement suffices: earlier leases have expired, later leaders load a store with the cancellation. It states a fact that stays true, so it may be late, repeated or lost. Requests wait for up to 4 s, polls 1.5 s, then get 503.

The process announces in node/HOST that it acknowledges (new field `cancellations`); a leader of an earlier version gets no notice and is waited for. Gossip, standby messages and all other records are unchanged.

All simulations check that no start order follows a confirmed cancellation.

--- a/src/main/java/org/shoreusher/cli/Controller.java
+++ b/src/main/java/org/shoreusher/cli/Controller.java
@@ -11,6 +11,7 @@
 import org.shoreusher.log.EventLogger;
 import org.shoreusher.log.LogEvent;
 import org.shoreusher.log.LogEventType;
+import org.shoreusher.peer.CancellationTransport;
 import org.shoreusher.peer.GossipTransport;
 import org.shoreusher.peer.StandbyTransport;
 import org.shoreusher.settings.Features;
@@ -39,6 +40,7 @@
     private final WorkerClient workers;
     private final GossipTransport gossip;
     private final StandbyTransport standby;
+    private final CancellationTransport cancellations;
     private final HttpFrontend frontend;
     private long lastTickMs;
     private long lastTickDelayMs;
@@ -65,6 +67,7 @@
         workers = new WorkerClient(loop);
         gossip = new GossipTransport(group, settings, commandLoop::offer);
         standby = new StandbyTransport(group, settings);
+        cancellations = new CancellationTransport(group, settings);
         frontend = new HttpFrontend(group, settings, commandLoop::offer, this::eventLoopDelayMs);
     }
 
@@ -148,6 +151,8 @@
             gossip.broadcast(sendGossip.message());
         } else if (effect instanceof Effect.SendStandbyMessage sendStandby) {
             standby.send(sendStandby.host(), sendStandby.message());
+        } else if (effect instanceof Effect.SendCancellationMessage send) {
+            cancellations.send(send.host(), send.message());
         } else if (effect instanceof Effect.Log log) {
             EventLogger.log(LOG, log.event());
         }
--- a/src/main/java/org/shoreusher/core/Node.java
+++ b/src/main/java/org/shoreusher/core/Node.java
@@ -15,6 +15,7 @@
 import org.shoreusher.core.store.Outbox;
 import org.shoreusher.core.store.StoreCache;
 import org.shoreusher.core.store.VersionNegotiation;
+import org.shoreusher.core.user.CancellationPropagation;
 import org.shoreusher.core.user.UserRequests;
 import org.shoreusher.settings.Features;
 import org.shoreusher.settings.Settings;
@@ -36,6 +37,8 @@
     private final VersionNegotiation versionNegotiation;
     private final Shards shards;
     private final UserRequests userRequests;
+    private final CancellationPropagation cancellationPropagation;
+    private final CancellationReceiver cancellationReceiver;
     private final PeerGossip peerGossip;
     private final NewJobAssignment newJobAssignment;
     private final HeartbeatRouter heartbeatRouter;
@@ -66,17 +69,27 @@
         peerGossip = new PeerGossip(settings, outbox, shardCount, this::ledShard);
         shards = new Shards(shardCount, services, peerGossip, processName);
         newJobAssignment = new NewJobAssignment(peerGossip, shardCount);
+        cancellationPropagation =
+                new CancellationPropagation(context, shardCount, shards::hasValidLease);
+        cancellationReceiver =
+                new CancellationReceiver(storeCache, outbox, shards, cancellationPropagation);
         userRequests =
                 new UserRequests(
                         context,
                         submissionBatches,
                         typeCatalog,
+                        cancellationPropagation,
                         processName,
                         this::taskCounts,
                         newJobAssignment::assign);
         heartbeatRouter = new HeartbeatRouter(services, shards, peerGossip);
         storeChangeRouter =
-                new StoreChangeRouter(services, shards, peerGossip, userRequests.terminalJobs());
+                new StoreChangeRouter(
+                        services,
+                        shards,
+                        peerGossip,
+                        userRequests.terminalJobs(),
+                        cancellationPropagation);
     }
 
     private void onStoreChange(String key, StoreCache.Entry before, StoreCache.Entry after) {
@@ -139,6 +152,8 @@
             peerGossip.receive(gossip.message());
         } else if (command instanceof Command.Standby standby) {
             handleStandbyMessage(standby.message());
+        } else if (command instanceof Command.Cancellation cancellation) {
+            cancellationReceiver.receive(cancellation.message());
         }
         // A tick needs no handling: step() does the due work after every batch.
     }
--- a/src/main/java/org/shoreusher/core/Shards.java
+++ b/src/main/java/org/shoreusher/core/Shards.java
@@ -58,6 +58,11 @@
         return ledShards[shardNumber] != null;
     }
 
+    /** Returns whether this node leads the shard and its lease is valid. */
+    boolean hasValidLease(int shardNumber) {
+        return ledShards[shardNumber] != null && ledShards[shardNumber].isLeader();
+    }
+
     @Override
     public int ledShardCount() {
         int count = 0;
--- a/src/main/java/org/shoreusher/core/StoreChangeRouter.java
+++ b/src/main/java/org/shoreusher/core/StoreChangeRouter.java
@@ -8,6 +8,7 @@
 import org.shoreusher.core.store.ShardRecord;
 import org.shoreusher.core.store.StoreCache;
 import org.shoreusher.core.store.StoreSchema;
+import org.shoreusher.core.user.CancellationPropagation;
 
 /** Routes changes of the store cache to the classes that use records of the changed kind. */
 final class StoreChangeRouter {
@@ -15,16 +16,19 @@
     private final Shards shards;
     private final PeerGossip peerGossip;
     private final TerminalJobCache terminalJobs;
+    private final CancellationPropagation cancellationPropagation;
 
     StoreChangeRouter(
             NodeServices services,
             Shards shards,
             PeerGossip peerGossip,
-            TerminalJobCache terminalJobs) {
+            TerminalJobCache terminalJobs,
+            CancellationPropagation cancellationPropagation) {
         this.services = services;
         this.shards = shards;
         this.peerGossip = peerGossip;
         this.terminalJobs = terminalJobs;
+        this.cancellationPropagation = cancellationPropagation;
     }
 
     /**
@@ -70,6 +74,7 @@
             terminalJobs.jobCompleted(jobId, record);
         } else if (record.status() == JobStatus.CANCELLED) {
             terminalJobs.jobCancelled(jobId);
+            cancellationPropagation.cancellationObserved(jobId);
         }
     }
 
--- a/src/main/java/org/shoreusher/core/leadership/LeaderLease.java
+++ b/src/main/java/org/shoreusher/core/leadership/LeaderLease.java
@@ -66,6 +66,18 @@
                 - LeadershipConstants.CANCELLATION_MARGIN_MS;
     }
 
+    /**
+     * Returns the ms after a write to the key-value store, by any node's clock, from which on no
+     * leader starts a task whose store cache lacks the write, even if its lease is valid.
+     */
+    public static long maxStartDelayAfterWriteMs() {
+        return (long)
+                        Math.ceil(
+                                LeadershipConstants.MAX_STORE_CACHE_AGE_MS
+                                        * (1 + LeadershipConstants.MAX_CLOCK_DRIFT))
+                + LeadershipConstants.CANCELLATION_MARGIN_MS;
+    }
+
     /**
      * Returns the ms that a leader's lease lasts without renewal: a fixed time, but limited to a
      * share of the workers' leases, so that a successor can answer the workers before their leases
--- a/src/main/java/org/shoreusher/core/message/Command.java
+++ b/src/main/java/org/shoreusher/core/message/Command.java
@@ -93,6 +93,13 @@
      */
     record Standby(StandbyMessage message) implements Command {}
 
+    /**
+     * A peer sent a message about the cancellation of a job.
+     *
+     * @param message a notice or an acknowledgement
+     */
+    record Cancellation(CancellationMessage message) implements Command {}
+
     /** Time has passed: the node does its due work without another input. */
     record Tick() implements Command {}
 
--- a/src/main/java/org/shoreusher/core/message/Effect.java
+++ b/src/main/java/org/shoreusher/core/message/Effect.java
@@ -67,6 +67,14 @@
      */
     record SendStandbyMessage(String host, StandbyMessage message) implements Effect {}
 
+    /**
+     * Sends a message about the cancellation of a job to one peer; it may be lost.
+     *
+     * @param host the peer's host
+     * @param message a notice or an acknowledgement
+     */
+    record SendCancellationMessage(String host, CancellationMessage message) implements Effect {}
+
     /** Writes an event to the operators' log. */
     record Log(LogEvent event) implements Effect {}
 
--- a/src/main/java/org/shoreusher/core/store/CorruptRecordException.java
+++ b/src/main/java/org/shoreusher/core/store/CorruptRecordException.java
@@ -6,7 +6,7 @@
  * A record in the key-value store does not have the format in which this service writes it. Only
  * this service writes its keys, so the cause is a bug or a manual change by an operator.
  */
-final class CorruptRecordException extends IllegalStateException {
+public final class CorruptRecordException extends IllegalStateException {
     private static final long serialVersionUID = 1;
 
     /**
--- a/src/main/java/org/shoreusher/core/store/ShardRecord.java
+++ b/src/main/java/org/shoreusher/core/store/ShardRecord.java
@@ -58,7 +58,12 @@
 
     /** Returns the leader's host. */
     public String leaderHost() {
-        int slash = leader.lastIndexOf('/');
-        return slash < 0 ? leader : leader.substring(0, slash);
+        return hostOf(leader);
+    }
+
+    /** Returns the host of a process name, HOST/SUFFIX. */
+    static String hostOf(String process) {
+        int slash = process.lastIndexOf('/');
+        return slash < 0 ? process : process.substring(0, slash);
     }
 }
--- a/src/main/java/org/shoreusher/core/store/VersionNegotiation.java
+++ b/src/main/java/org/shoreusher/core/store/VersionNegotiation.java
@@ -44,6 +44,14 @@
 
     private static final long STANDBY_LOG_FORMAT = 1;
 
+    /**
+     * The format of messages about cancellations that the process acknowledges as a leader; absent
+     * if it acknowledges none.
+     */
+    private static final String CANCELLATION_FIELD = "cancellations";
+
+    private static final long CANCELLATION_FORMAT = 1;
+
     private final Settings settings;
     private final Features features;
     private final Outbox outbox;
@@ -122,6 +130,7 @@
         Map<String, Object> versionRecord = new LinkedHashMap<>();
         versionRecord.put(FORMAT_FIELD, FORMAT_WITH_SERVICES);
         versionRecord.put(PROCESS_NAME_FIELD, processName);
+        versionRecord.put(CANCELLATION_FIELD, CANCELLATION_FORMAT);
         if (features.standby() != null) {
             versionRecord.put(STANDBY_LOG_FIELD, STANDBY_LOG_FORMAT);
         }
@@ -160,6 +169,20 @@
         return candidates;
     }
 
+    /**
+     * Returns whether a process is known to acknowledge cancellations as a leader.
+     *
+     * @param process the process name, HOST/SUFFIX
+     */
+    public boolean acknowledgesCancellations(String process) {
+        StoreCache.Entry versionRecord =
+                storeCache.get(StoreSchema.nodeKey(ShardRecord.hostOf(process)));
+        return versionRecord != null
+                && process.equals(versionRecord.value().get(PROCESS_NAME_FIELD))
+                && versionRecord.value().get(CANCELLATION_FIELD) instanceof Number format
+                && format.longValue() == CANCELLATION_FORMAT;
+    }
+
     /**
      * Returns whether every member is known to support services. Only the records in the store
      * cache count, not gossip.
--- a/src/main/java/org/shoreusher/core/user/AdmissionConstants.java
+++ b/src/main/java/org/shoreusher/core/user/AdmissionConstants.java
@@ -29,6 +29,18 @@
      */
     static final long SUBMISSION_QUEUE_TIMEOUT_MS = 600;
 
+    /** ms; interval at which a cancellation is sent to a leader that does not acknowledge it. */
+    static final long CANCELLATION_NOTICE_INTERVAL_MS = 300;
+
+    /**
+     * ms; longest time for which the response to a submission or cancellation waits until the
+     * cancellation may be reported. Users wait 5 s.
+     */
+    static final long MAX_CANCELLATION_WAIT_MS = 4_000;
+
+    /** ms; the same for a poll, for whose response users wait 2 s. */
+    static final long MAX_CANCELLATION_WAIT_OF_POLL_MS = 1_500;
+
     /**
      * Maximum user requests in progress on a node; further requests are rejected with 503
      * immediately.
--- a/src/main/java/org/shoreusher/core/user/JobCancellation.java
+++ b/src/main/java/org/shoreusher/core/user/JobCancellation.java
@@ -22,6 +22,7 @@
     private final Outbox outbox;
     private final StoreCache storeCache;
     private final LinearizableReads linearizableReads;
+    private final CancellationPropagation propagation;
 
     /** Rejects a request if this node cannot serve it now; returns whether it did. */
     private final LongPredicate rejectIfOverloaded;
@@ -39,11 +40,13 @@
             Outbox outbox,
             StoreCache storeCache,
             LinearizableReads linearizableReads,
+            CancellationPropagation propagation,
             LongPredicate rejectIfOverloaded) {
         this.settings = settings;
         this.outbox = outbox;
         this.storeCache = storeCache;
         this.linearizableReads = linearizableReads;
+        this.propagation = propagation;
         this.rejectIfOverloaded = rejectIfOverloaded;
     }
 
@@ -76,7 +79,7 @@
         }
         switch (record.status()) {
             case DONE -> respond(request, DisplayState.DONE);
-            case CANCELLED -> respond(request, DisplayState.CANCELLED);
+            case CANCELLED -> respondCancelled(request);
             case OPEN -> writeCancelled(request, record);
         }
     }
@@ -85,6 +88,14 @@
         outbox.respond(request.requestId, new Response.JobState(request.jobId, state));
     }
 
+    private void respondCancelled(CancelRequest request) {
+        propagation.respondWhenPropagated(
+                request.requestId,
+                request.jobId,
+                AdmissionConstants.MAX_CANCELLATION_WAIT_MS,
+                () -> respond(request, DisplayState.CANCELLED));
+    }
+
     private void writeCancelled(CancelRequest request, JobRecord record) {
         String key = StoreSchema.jobKey(request.jobId);
         Map<String, Map<String, Object>> writes =
@@ -113,7 +124,7 @@
                             writesInFlight--;
                             if (reply.status() == ReplyStatus.OK) {
                                 storeCache.applyOwnWrites(reply, operation.writes());
-                                respond(request, DisplayState.CANCELLED);
+                                respondCancelled(request);
                             } else if (reply.status() == ReplyStatus.CONFLICT) {
                                 retryAfterConflict(request);
                             } else if (reply.status() == ReplyStatus.TOO_MANY_REQUESTS
--- a/src/main/java/org/shoreusher/core/user/UserRequests.java
+++ b/src/main/java/org/shoreusher/core/user/UserRequests.java
@@ -7,6 +7,7 @@
 import org.shoreusher.core.message.JobSpec;
 import org.shoreusher.core.message.Response;
 import org.shoreusher.core.store.JobRecord;
+import org.shoreusher.core.store.JobStatus;
 import org.shoreusher.core.store.LinearizableReads;
 import org.shoreusher.core.store.NodeContext;
 import org.shoreusher.core.store.Outbox;
@@ -35,10 +36,12 @@
     private final JobStateResponses responses;
     private final TerminalJobCache terminalJobs;
     private final LinearizableReads linearizableReads;
+    private final CancellationPropagation propagation;
 
     /**
      * Creates the handler of the requests that one node receives.
      *
+     * @param propagation delays responses that report a cancellation
      * @param processName the name of this process, which no other process has ever had
      * @param shardWithMostHeadroom returns the number of the shard to which a new job is assigned
      */
@@ -46,6 +49,7 @@
             NodeContext context,
             SubmissionBatches submissionBatches,
             MachineTypeCatalog machineTypes,
+            CancellationPropagation propagation,
             String processName,
             TaskCountSource taskCounts,
             ToIntFunction<JobSpec> shardWithMostHeadroom) {
@@ -53,6 +57,7 @@
         outbox = context.outbox();
         storeCache = context.storeCache();
         this.submissionBatches = submissionBatches;
+        this.propagation = propagation;
         admissionPolicy = new AdmissionPolicy(settings, machineTypes, context.versionNegotiation());
         responses = new JobStateResponses(taskCounts);
         terminalJobs = new TerminalJobCache(settings, outbox, storeCache);
@@ -66,7 +71,12 @@
                         this::rejectIfOverloaded);
         jobCancellation =
                 new JobCancellation(
-                        settings, outbox, storeCache, linearizableReads, this::rejectIfOverloaded);
+                        settings,
+                        outbox,
+                        storeCache,
+                        linearizableReads,
+                        propagation,
+                        this::rejectIfOverloaded);
         submissionCommit =
                 new SubmissionCommit(
                         settings,
@@ -85,14 +95,30 @@
             return;
         }
         linearizableReads.readBatched(
+                requestId, jobId, record -> respondToPoll(requestId, jobId, record));
+    }
+
+    private void respondToPoll(long requestId, String jobId, JobRecord record) {
+        if (record == null) {
+            outbox.respond(requestId, new Response.NotFound());
+            return;
+        }
+        respondWhenReportable(
                 requestId,
                 jobId,
-                record ->
-                        outbox.respond(
-                                requestId,
-                                record == null
-                                        ? new Response.NotFound()
-                                        : responses.withCounts(jobId, record)));
+                record,
+                AdmissionConstants.MAX_CANCELLATION_WAIT_OF_POLL_MS,
+                () -> outbox.respond(requestId, responses.withCounts(jobId, record)));
+    }
+
+    /** Responds with the state of a job: at once, unless it is a cancellation that has to wait. */
+    private void respondWhenReportable(
+            long requestId, String jobId, JobRecord record, long maxWaitMs, Runnable respond) {
+        if (record.status() == JobStatus.CANCELLED) {
+            propagation.respondWhenPropagated(requestId, jobId, maxWaitMs, respond);
+        } else {
+            respond.run();
+        }
     }
 
     /**
@@ -194,13 +220,19 @@
     }
 
     private void respondWithState(long requestId, String jobId, JobRecord record) {
-        outbox.respond(requestId, responses.stateOnly(jobId, record));
+        respondWhenReportable(
+                requestId,
+                jobId,
+                record,
+                AdmissionConstants.MAX_CANCELLATION_WAIT_MS,
+                () -> outbox.respond(requestId, responses.stateOnly(jobId, record)));
     }
 
     /** Sends the queued writes and reads, and the responses that are due. */
     public void step() {
         submissionCommit.commitQueued();
         linearizableReads.respondToCaughtUpReads();
+        propagation.step();
         terminalJobs.evictCancelledJobs();
         linearizableReads.sendBatch();
     }
@@ -212,7 +244,10 @@
 
     /** Rejects the request if this node can't serve it now; returns whether it did. */
     private boolean rejectIfOverloaded(long requestId) {
-        int inProgress = jobCancellation.writesInFlight() + linearizableReads.pendingCount();
+        int inProgress =
+                jobCancellation.writesInFlight()
+                        + linearizableReads.pendingCount()
+                        + propagation.pendingCount();
         if (!storeCache.isLoaded()
                 || outbox.isStoreUnavailable()
                 || inProgress >= AdmissionConstants.MAX_USER_REQUESTS_IN_FLIGHT) {
--- a/src/main/java/org/shoreusher/log/LogEventType.java
+++ b/src/main/java/org/shoreusher/log/LogEventType.java
@@ -58,6 +58,8 @@
     ATTEMPT_LOG_REJECTED,
     /** A worker reports an attempt that is not in the promoted attempt log; must never happen. */
     ATTEMPT_LOG_CONTRADICTED,
+    /** A request was rejected since a leader may not know of the job's cancellation yet. */
+    CANCELLATION_NOT_PROPAGATED,
     /** A connection was closed because another node sent a message that is not valid. */
     PEER_MESSAGE_INVALID,
     /** A command or an effect failed with an exception; a fault of the program. */
--- a/src/main/java/org/shoreusher/peer/GossipTransport.java
+++ b/src/main/java/org/shoreusher/peer/GossipTransport.java
@@ -13,6 +13,7 @@
 import io.netty.handler.codec.LengthFieldBasedFrameDecoder;
 import io.netty.handler.timeout.ReadTimeoutHandler;
 import java.util.function.Consumer;
+import org.shoreusher.core.message.CancellationMessage;
 import org.shoreusher.core.message.Command;
 import org.shoreusher.core.message.GossipMessage;
 import org.shoreusher.log.EventLogger;
@@ -25,9 +26,9 @@
 import org.slf4j.LoggerFactory;
 
 /**
- * Sends gossip to the other controllers, and receives their gossip and standby messages. Gossip
- * that cannot be sent immediately is dropped. Each message is a frame with a length prefix of 4
- * bytes.
+ * Sends gossip to the other controllers, and receives all their messages: gossip, standby messages
+ * and messages about cancellations. Gossip that cannot be sent immediately is dropped. Each message
+ * is a frame with a length prefix of 4 bytes.
  */
 public final class GossipTransport {
     private static final Logger LOG = LoggerFactory.getLogger("shoreusher");
@@ -104,6 +105,10 @@
                 StandbyMessage message = StandbyCodec.decode(bytes);
                 return message == null ? null : new Command.Standby(message);
             }
+            if (bytes.length > 0 && CancellationTransport.startsCancellationMessage(bytes[0])) {
+                CancellationMessage message = CancellationTransport.decode(bytes);
+                return message == null ? null : new Command.Cancellation(message);
+            }
             GossipMessage gossip = codec.decode(bytes);
             return gossip == null ? null : new Command.Gossip(gossip);
         }
--- a/src/test/java/org/shoreusher/simulation/EffectHash.java
+++ b/src/test/java/org/shoreusher/simulation/EffectHash.java
@@ -9,6 +9,7 @@
 import org.shoreusher.core.message.Effect;
 import org.shoreusher.peer.GossipCodec;
 import org.shoreusher.peer.StandbyMessageCodec;
+import org.shoreusher.wire.CancellationFormat;
 import org.shoreusher.wire.CloudFormat;
 import org.shoreusher.wire.FieldMap;
 import org.shoreusher.wire.ResponseFormat;
@@ -31,6 +32,7 @@
     private static final int DIRECT_ORDERS = 4;
     private static final int GOSSIP = 5;
     private static final int STANDBY_MESSAGE = 6;
+    private static final int CANCELLATION_MESSAGE = 7;
 
     private final HashStream64 stream = Hashing.xxh3_64().hashStream();
     private final GossipCodec gossipCodec = new GossipCodec();
@@ -60,6 +62,9 @@
         } else if (effect instanceof Effect.SendStandbyMessage standby) {
             beginEffect(STANDBY_MESSAGE, host).putString(standby.host());
             addBytes(StandbyMessageCodec.encode(standby.message()));
+        } else if (effect instanceof Effect.SendCancellationMessage cancellation) {
+            beginEffect(CANCELLATION_MESSAGE, host).putString(cancellation.host());
+            addBytes(CancellationFormat.encode(cancellation.message()));
         }
     }
 
--- a/src/test/java/org/shoreusher/simulation/Invariants.java
+++ b/src/test/java/org/shoreusher/simulation/Invariants.java
@@ -6,7 +6,10 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import org.shoreusher.core.message.Effect;
 import org.shoreusher.core.message.JobSpec;
+import org.shoreusher.core.message.Response;
+import org.shoreusher.core.message.WorkerOrder;
 
 /** Checks the protocol's invariants on the tasks that run and the responses that users receive. */
 final class Invariants {
@@ -27,6 +30,9 @@
     /** When the first task of a job started to run, in ms, by job id. */
     final Map<String, Long> firstStartMs = new HashMap<>();
 
+    /** When a task of a job last failed on its machine by chance, in ms, by job id. */
+    final Map<String, Long> lastTaskFailureMs = new HashMap<>();
+
     int taskStarts;
 
     /** Task starts after an earlier attempt of the task had completed. */
@@ -100,6 +106,27 @@
         checkCancelled(taskName, job);
     }
 
+    /** Called when a controller sends a response; none may start a task of a cancelled job. */
+    void responseSent(String host, Effect.Respond response) {
+        if (!(response.response() instanceof Response.HeartbeatAccepted accepted)) {
+            return;
+        }
+        for (WorkerOrder order : accepted.orders()) {
+            SimulatedUsers.SimulatedJob job = simulation.users.jobs.get(order.jobId());
+            if (order.kind() == WorkerOrder.Kind.START && job != null && job.cancelConfirmed) {
+                recordViolation(
+                        "start_of_cancelled",
+                        host
+                                + " orders to start "
+                                + order.jobId()
+                                + "/"
+                                + order.taskIndex()
+                                + ", whose cancellation was confirmed at ms "
+                                + job.cancelConfirmedAtMs);
+            }
+        }
+    }
+
     /** Checks that a task runs no longer than the limit after its cancellation was confirmed. */
     private void checkCancelled(String taskName, SimulatedUsers.SimulatedJob job) {
         if (job.cancelConfirmed
@@ -126,6 +153,11 @@
         return machineOfTask.containsKey(taskName);
     }
 
+    /** Called when an attempt of a task fails by chance. */
+    void taskFailed(String taskName) {
+        lastTaskFailureMs.put(taskName.substring(0, taskName.indexOf('/')), simulation.nowMs);
+    }
+
     /** Called when an attempt of a task completes. */
     void taskCompleted(String taskName) {
         String jobId = taskName.substring(0, taskName.indexOf('/'));
--- a/src/test/java/org/shoreusher/simulation/ServiceSupportTest.java
+++ b/src/test/java/org/shoreusher/simulation/ServiceSupportTest.java
@@ -107,7 +107,13 @@
     void everyIncarnationWritesItsVersionRecord() {
         SingleNodeSimulation node = nodeInClusterOfTwo();
         assertEquals(
-                Map.of("formats", FORMATS_WITH_SERVICES, "process", "node-0/1"),
+                Map.of(
+                        "formats",
+                        FORMATS_WITH_SERVICES,
+                        "process",
+                        "node-0/1",
+                        "cancellations",
+                        1L),
                 node.store().value("node/node-0"));
     }
 }
--- a/src/test/java/org/shoreusher/simulation/SimulatedController.java
+++ b/src/test/java/org/shoreusher/simulation/SimulatedController.java
@@ -186,6 +186,7 @@
         int expectedIncarnation = incarnation;
         simulation.onEffect.accept(host, effect);
         if (effect instanceof Effect.Respond response) {
+            simulation.invariants.responseSent(host, response);
             Consumer<WireResponse> onResponse = pendingRequests.remove(response.requestId());
             if (onResponse != null) {
                 onResponse.accept(WireResponse.of(response));
@@ -224,7 +225,9 @@
                 }
             }
         } else if (effect instanceof Effect.SendStandbyMessage message) {
-            sendStandbyMessage(message);
+            sendToPeer(message.host(), new Command.Standby(message.message()));
+        } else if (effect instanceof Effect.SendCancellationMessage message) {
+            sendToPeer(message.host(), new Command.Cancellation(message.message()));
         } else if (effect instanceof Effect.Log logLine) {
             EventLog.Entry entry = simulation.log.add(simulation.nowMs, host, logLine.event());
             simulation.onLog.accept(entry);
@@ -235,13 +238,10 @@
         }
     }
 
-    private void sendStandbyMessage(Effect.SendStandbyMessage effect) {
+    private void sendToPeer(String peerHost, Command command) {
         for (SimulatedController controller : simulation.controllers) {
-            if (controller.host.equals(effect.host())) {
-                simulation.network.send(
-                        host,
-                        controller.host,
-                        () -> controller.enqueue(new Command.Standby(effect.message())));
+            if (controller.host.equals(peerHost)) {
+                simulation.network.send(host, controller.host, () -> controller.enqueue(command));
             }
         }
     }
--- a/src/test/java/org/shoreusher/simulation/SimulatedTasks.java
+++ b/src/test/java/org/shoreusher/simulation/SimulatedTasks.java
@@ -165,6 +165,7 @@
                                         return;
                                     }
                                     if (simulation.random.nextInt(ONE_TASK_FAILS_IN) == 0) {
+                                        simulation.invariants.taskFailed(name);
                                         exitTask(name, task, ExitCause.ERROR);
                                     } else {
                                         completedTasks.add(name);
