A job that failed on its first machines gets further ones, one at a time

Cause: after failures on two machines without a completed task a job is suspected to be faulty, and the plan for new machines left out suspected jobs. Only a completed task ends the suspicion, and none can complete without a machine. Preemption left such jobs out as well, and services stayed suspected until a replica had run for 20 s.

Change: the suspicion is half-open after each backoff. One task at a time may have a machine provisioned or another task preempted, and counts in the shortfall and for reserved capacity. Machines on which the job failed in the last minute are no capacity for it; batch tasks are not started there, services are while there is no other machine. The machine for the next trial is not drained during the backoff. Machines on which a job failed are left out of replica preemption and migration for a minute, not for good.

Why this works: every backoff (at most 30 s) ends with a trial on a machine on which the job has not failed, so a sound job meets a sound machine, and a job with a mistake costs at most one further machine per backoff.

--- a/src/main/java/org/shoreusher/core/cluster/ClusterConstants.java
+++ b/src/main/java/org/shoreusher/core/cluster/ClusterConstants.java
@@ -52,6 +52,18 @@
     /** ms; longest backoff of a job after failed tasks. */
     static final long MAX_FAILURE_BACKOFF_MS = 30_000;
 
+    /**
+     * ms; a job whose tasks have failed on several machines does not use such a machine again for
+     * this long after its failure, but a machine on which it has not failed yet.
+     */
+    static final long FAILED_MACHINE_AVOIDANCE_MS = 60_000;
+
+    /**
+     * Tasks of a job suspected to be faulty for which machines are provisioned or other tasks
+     * preempted at a time. Limits what a job costs that fails on every machine.
+     */
+    static final int SUSPECTED_JOB_TRIAL_TASKS = 1;
+
     /** CPUs or GB; tolerance for rounding errors when sums of decimal amounts are compared. */
     public static final double EPSILON = 1e-9;
 
--- a/src/main/java/org/shoreusher/core/cluster/Job.java
+++ b/src/main/java/org/shoreusher/core/cluster/Job.java
@@ -3,7 +3,6 @@
 import it.unimi.dsi.fastutil.ints.Int2ObjectOpenHashMap;
 import java.util.Arrays;
 import java.util.BitSet;
-import java.util.Set;
 import org.shoreusher.core.message.JobSpec;
 
 /**
@@ -35,8 +34,7 @@
     private boolean terminalWriteInFlight;
     private boolean taskZonesUnknown;
     private String largerHalfZone;
-    private int observedRunCount;
-    private double observedRunSumS;
+    private final ObservedRunTimes runTimes = new ObservedRunTimes();
     private final FailureBackoff failures = new FailureBackoff();
 
     /** Creates a job without pending tasks. */
@@ -84,9 +82,30 @@
         return activeAttempts;
     }
 
-    /** Machines on which a task of the job has failed; a live view. */
-    public Set<String> failedMachineIds() {
-        return failures.failedMachineIds();
+    /** The failed attempts of the job's tasks. */
+    public FailureBackoff failures() {
+        return failures;
+    }
+
+    /** The run times of the job's completed tasks. */
+    public ObservedRunTimes runTimes() {
+        return runTimes;
+    }
+
+    /**
+     * Whether a plan for new machines may count a machine as capacity for the job. A job suspected
+     * to be faulty needs machines on which it has not failed.
+     */
+    public boolean mayPlanFor(String machineId) {
+        return !isSuspectedFaulty() || !failures.avoidedMachineIds().contains(machineId);
+    }
+
+    /**
+     * Whether tasks of the job may be started on a machine. A service is restarted on machines on
+     * which it has failed while there is no other.
+     */
+    public boolean mayStartOn(String machineId) {
+        return !spec.workloadType().runsToCompletion() || mayPlanFor(machineId);
     }
 
     /** The number of pending tasks. */
@@ -94,6 +113,17 @@
         return pendingCount;
     }
 
+    /**
+     * The number of pending tasks for which machines may be provisioned or other tasks preempted: a
+     * few for a job suspected to be faulty, since another machine may show that it is sound, and
+     * all otherwise.
+     */
+    public int pendingCountForNewCapacity() {
+        return isSuspectedFaulty()
+                ? Math.min(pendingCount, ClusterConstants.SUSPECTED_JOB_TRIAL_TASKS)
+                : pendingCount;
+    }
+
     /**
      * The durable high-water mark: only tasks with a lower index may be started. A successor reads
      * it from the store: no other task has ever been started.
@@ -236,33 +266,12 @@
         return lastTaskIndex + 1;
     }
 
-    /** Records the run time of a completed task, in seconds. */
-    public void recordRunTime(double runTimeS) {
-        observedRunCount++;
-        observedRunSumS += runTimeS;
-    }
-
-    /** The number of recorded run times. */
-    public int observedRunCount() {
-        return observedRunCount;
-    }
-
-    /** The mean of the recorded run times, in seconds; NaN if there is none. */
-    public double meanRunTimeS() {
-        return observedRunSumS / observedRunCount;
-    }
-
     /** Whether all tasks are completed; always false for a service. */
     public boolean isComplete() {
         return spec.workloadType().runsToCompletion()
                 && completedTasks.cardinality() >= spec.taskCount();
     }
 
-    /** Whether starts are delayed because attempts have failed. */
-    public boolean isBackingOff(long nowMs) {
-        return failures.isBackingOff(nowMs);
-    }
-
     /**
      * Records a failed attempt. While no task has completed, the second failure delays the next
      * start and each further one doubles the delay, up to {@link
@@ -272,14 +281,6 @@
         failures.recordFailure(machineId, nowMs, completedTasks.isEmpty());
     }
 
-    /**
-     * Clears all failures. Called when a replica has run for a long time, which shows that the
-     * cause of the failures was a machine or no longer exists.
-     */
-    public void resetFailures() {
-        failures.reset();
-    }
-
     /**
      * Whether the job itself is probably faulty: its tasks have failed on several machines and none
      * has completed.
--- a/src/main/java/org/shoreusher/core/heartbeat/HeartbeatApplier.java
+++ b/src/main/java/org/shoreusher/core/heartbeat/HeartbeatApplier.java
@@ -147,7 +147,7 @@
                 outbox.now().monotonicMs());
         if (!attempt.job().spec().workloadType().runsToCompletion()
                 && taskExitRecorder.hasPassedStartup(attempt)) {
-            attempt.job().resetFailures();
+            attempt.job().failures().reset();
         }
     }
 
--- a/src/main/java/org/shoreusher/core/heartbeat/TaskExitRecorder.java
+++ b/src/main/java/org/shoreusher/core/heartbeat/TaskExitRecorder.java
@@ -76,9 +76,9 @@
             return;
         }
         double runTimeS = runningMs(attempt) / 1000.0;
-        if (job.observedRunCount() >= ClusterConstants.MIN_SLOWDOWN_SAMPLES
-                && job.meanRunTimeS() >= HeartbeatConstants.MIN_SLOWDOWN_RUN_TIME_S) {
-            machine.recordRunTime(runTimeS / job.meanRunTimeS());
+        if (job.runTimes().count() >= ClusterConstants.MIN_SLOWDOWN_SAMPLES
+                && job.runTimes().meanS() >= HeartbeatConstants.MIN_SLOWDOWN_RUN_TIME_S) {
+            machine.recordRunTime(runTimeS / job.runTimes().meanS());
         }
         runTimeEstimates.recordRunTime(job, runTimeS);
     }
@@ -125,7 +125,7 @@
                 || exitCause == ExitCause.COMPLETED
                 || exitCause == ExitCause.UNKNOWN_TASK) {
             if (hasPassedStartup(attempt)) {
-                job.resetFailures();
+                job.failures().reset();
             }
             job.recordFailure(machine.id(), outbox.now().monotonicMs());
             attributeFailure(machine, job, exitCause);
--- a/src/main/java/org/shoreusher/core/job/RunTimeEstimates.java
+++ b/src/main/java/org/shoreusher/core/job/RunTimeEstimates.java
@@ -21,7 +21,7 @@
 
     /** Records how long a completed task of the job ran, in seconds. */
     public void recordRunTime(Job job, double runTimeS) {
-        job.recordRunTime(runTimeS);
+        job.runTimes().record(runTimeS);
         if (job.spec().estimatedRunS() > 0) {
             double ratio = runTimeS / job.spec().estimatedRunS();
             double[] meanRatio =
@@ -36,8 +36,8 @@
      * JobConstants#MIN_RUN_TIME_S}.
      */
     public double expectedRunS(Job job) {
-        if (job.observedRunCount() > 0) {
-            return Math.max(JobConstants.MIN_RUN_TIME_S, job.meanRunTimeS());
+        if (job.runTimes().count() > 0) {
+            return Math.max(JobConstants.MIN_RUN_TIME_S, job.runTimes().meanS());
         }
         double[] meanRatio = meanRatioByClass.get(job.spec().jobClass());
         return Math.max(
--- a/src/main/java/org/shoreusher/core/machine/Autoscaler.java
+++ b/src/main/java/org/shoreusher/core/machine/Autoscaler.java
@@ -127,6 +127,7 @@
                         scaleOut.maxNewMachines(),
                         countMachinesPerZone());
         jobs.forEach(job -> addToPlan(job, plan));
+        keepMachinesForTrials(binPacker);
         reservedReplicaCapacity.addTo(plan);
         jobs.forEach(
                 job ->
@@ -142,10 +143,26 @@
         scaleOut.requestMachines(plan.toProvision());
     }
 
+    /**
+     * Places the next trial of each job that is suspected to be faulty and backs off, so that the
+     * machine for it is not drained as idle before the end of the backoff.
+     */
+    private void keepMachinesForTrials(BinPacker binPacker) {
+        for (Job job : jobQueue.backingOff()) {
+            if (job.isSuspectedFaulty()) {
+                binPacker.place(job, job.pendingCountForNewCapacity());
+            }
+        }
+    }
+
     private void addToPlan(Job job, ProvisionPlan plan) {
         Optional<MachineType> cheapestType = pricing.cheapestType(job.spec());
-        if (!job.isSuspectedFaulty() && cheapestType.isPresent()) {
-            plan.addJob(job, targetParallelism.of(job, cheapestType.get()));
+        if (cheapestType.isPresent()) {
+            plan.addJob(
+                    job,
+                    Math.min(
+                            job.pendingCountForNewCapacity(),
+                            targetParallelism.of(job, cheapestType.get())));
         }
     }
 
--- a/src/main/java/org/shoreusher/core/machine/CapacityShortfall.java
+++ b/src/main/java/org/shoreusher/core/machine/CapacityShortfall.java
@@ -46,7 +46,7 @@
         double missingMachines = 0;
         cpus = 0;
         for (Job job : jobsInSchedulingOrder) {
-            int unplaced = binPacker.place(job, job.pendingCount());
+            int unplaced = binPacker.place(job, job.pendingCountForNewCapacity());
             Optional<MachineType> type = pricing.cheapestType(job.spec());
             if (unplaced > 0 && type.isPresent()) {
                 missingMachines +=
@@ -73,7 +73,7 @@
 
     /** Creates a bin packer for these machines with the quotas that apply to scale-out. */
     BinPacker binPacker(List<MachineCapacity> capacities) {
-        return new BinPacker(
+        return BinPacker.forProvisioning(
                 capacities, quotaHeadroom::cpuHeadroomForScaleOut, quotaHeadroom::gpuHeadroom);
     }
 }
--- a/src/main/java/org/shoreusher/core/schedule/BalancerInput.java
+++ b/src/main/java/org/shoreusher/core/schedule/BalancerInput.java
@@ -128,7 +128,7 @@
         }
         MachineCapacity capacity = new MachineCapacity(machine);
         return !capacity.isExpensive()
-                && !job.failedMachineIds().contains(machineId)
+                && !job.failures().avoidedMachineIds().contains(machineId)
                 && machine.attempts().size() + machine.resources().reservedTaskCount()
                         < ClusterConstants.MAX_TASKS_PER_MACHINE
                 && capacity.isAllowedFor(job.spec())
--- a/src/main/java/org/shoreusher/core/schedule/BinPacker.java
+++ b/src/main/java/org/shoreusher/core/schedule/BinPacker.java
@@ -3,6 +3,7 @@
 import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.List;
+import java.util.function.BiPredicate;
 import java.util.function.ToDoubleFunction;
 import org.shoreusher.core.cluster.ClusterConstants;
 import org.shoreusher.core.cluster.Job;
@@ -37,6 +38,10 @@
 
     private final PlannedQuota quota;
     private final SpreadLimit spreadLimit;
+
+    /** Whether tasks of a job may be placed on the existing machine with an id. */
+    private final BiPredicate<Job, String> mayUseMachine;
+
     private final List<PlacedTasks> placedTasks = new ArrayList<>();
     private long machinesScanned;
 
@@ -54,6 +59,22 @@
         this(capacities, cpuHeadroom, gpuHeadroom, SpreadLimit.NONE);
     }
 
+    /**
+     * Creates an empty plan for the decision which machines to provision: a job that is suspected
+     * to be faulty is placed on machines on which it has not failed.
+     *
+     * @param capacities existing and requested machines; the list is changed
+     * @param cpuHeadroom CPUs of the quota that a team may still use
+     * @param gpuHeadroom GPUs of the quota that a team may still use
+     */
+    public static BinPacker forProvisioning(
+            List<MachineCapacity> capacities,
+            ToDoubleFunction<String> cpuHeadroom,
+            ToDoubleFunction<String> gpuHeadroom) {
+        return new BinPacker(
+                capacities, cpuHeadroom, gpuHeadroom, SpreadLimit.NONE, Job::mayPlanFor);
+    }
+
     /**
      * Creates an empty plan with a spread limit.
      *
@@ -67,6 +88,16 @@
             ToDoubleFunction<String> cpuHeadroom,
             ToDoubleFunction<String> gpuHeadroom,
             SpreadLimit spreadLimit) {
+        this(capacities, cpuHeadroom, gpuHeadroom, spreadLimit, Job::mayStartOn);
+    }
+
+    private BinPacker(
+            List<MachineCapacity> capacities,
+            ToDoubleFunction<String> cpuHeadroom,
+            ToDoubleFunction<String> gpuHeadroom,
+            SpreadLimit spreadLimit,
+            BiPredicate<Job, String> mayUseMachine) {
+        this.mayUseMachine = mayUseMachine;
         this.capacities = capacities;
         this.quota = new PlannedQuota(cpuHeadroom, gpuHeadroom);
         this.spreadLimit = spreadLimit;
@@ -134,7 +165,7 @@
     private static double packingRank(MachineCapacity capacity, Job job) {
         boolean hasFailedHere =
                 capacity.isProvisioned()
-                        && job.failedMachineIds().contains(capacity.machine().id());
+                        && job.failures().failedMachineIds().contains(capacity.machine().id());
         return (capacity.freeCpus() + ImageFetch.costCpus(capacity, job.spec()))
                         / Math.max(1, capacity.type().cpus())
                 + (capacity.isExpensive() ? ScheduleConstants.ON_DEMAND_RANK_PENALTY : 0)
@@ -151,7 +182,7 @@
         boolean anyFull = false;
         for (int i = 0; i < capacities.size() && unplaced > 0; i++) {
             MachineCapacity capacity = capacities.get(i);
-            if (!capacity.isAllowedFor(spec)) {
+            if (!capacity.isAllowedFor(spec) || !mayUse(job, capacity)) {
                 continue;
             }
             int taskCount =
@@ -172,6 +203,10 @@
         return unplaced;
     }
 
+    private boolean mayUse(Job job, MachineCapacity capacity) {
+        return !capacity.isProvisioned() || mayUseMachine.test(job, capacity.machine().id());
+    }
+
     private void assign(Job job, MachineCapacity capacity, int taskCount) {
         capacity.allocate(job.spec(), taskCount);
         if (spreadLimit != SpreadLimit.NONE) {
--- a/src/main/java/org/shoreusher/core/schedule/JobQueue.java
+++ b/src/main/java/org/shoreusher/core/schedule/JobQueue.java
@@ -20,6 +20,19 @@
         this.schedulingOrder = schedulingOrder;
     }
 
+    /** Returns the jobs with pending tasks that are backing off after failures, as a new list. */
+    public List<Job> backingOff() {
+        List<Job> backingOff = new ArrayList<>();
+        for (Job job : shard.jobs().values()) {
+            if (job.pendingCount() > 0
+                    && !job.isClosed()
+                    && job.failures().isBackingOff(outbox.now().monotonicMs())) {
+                backingOff.add(job);
+            }
+        }
+        return backingOff;
+    }
+
     /**
      * Returns the jobs with pending tasks, in scheduling order, as a new list. Left out are closed
      * jobs, those that are backing off after failures, and those with zone constraints whose tasks'
@@ -28,10 +41,11 @@
     public List<Job> inSchedulingOrder() {
         List<Job> schedulable = new ArrayList<>();
         for (Job job : shard.jobs().values()) {
+            job.failures().releaseAvoidedMachines(outbox.now().monotonicMs());
             if (job.pendingCount() > 0
                     && !job.isClosed()
                     && !job.hasUnknownTaskZones()
-                    && !job.isBackingOff(outbox.now().monotonicMs())) {
+                    && !job.failures().isBackingOff(outbox.now().monotonicMs())) {
                 schedulable.add(job);
             }
         }
--- a/src/main/java/org/shoreusher/core/schedule/PlacementPlan.java
+++ b/src/main/java/org/shoreusher/core/schedule/PlacementPlan.java
@@ -155,7 +155,12 @@
             int unplaced = packer.place(job, job.pendingCount());
             if (unplaced > 0) {
                 unplacedTasks.put(job, unplaced);
-                reservableCpus -= reserveMachines(packer, job, unplaced, reservableCpus);
+                reservableCpus -=
+                        reserveMachines(
+                                packer,
+                                job,
+                                Math.min(unplaced, job.pendingCountForNewCapacity()),
+                                reservableCpus);
             }
             // The high-water mark covers the tasks that are placed, and those that start next when
             // machines have capacity again.
--- a/src/main/java/org/shoreusher/core/schedule/Preemption.java
+++ b/src/main/java/org/shoreusher/core/schedule/Preemption.java
@@ -86,12 +86,13 @@
      */
     List<TaskAttempt> choose(List<Job> orderedJobs, BinPacker packer) {
         for (Job job : orderedJobs) {
-            if (job.isSuspectedFaulty() || !mayPreempt(job)) {
+            if (!mayPreempt(job)) {
                 continue;
             }
             JobSpec spec = job.spec();
-            int tasksOverQuota = job.pendingCount() - packer.maxTasksWithinQuota(spec);
-            int unplacedTasks = packer.place(job, job.pendingCount());
+            int pendingTasks = job.pendingCountForNewCapacity();
+            int tasksOverQuota = pendingTasks - packer.maxTasksWithinQuota(spec);
+            int unplacedTasks = packer.place(job, pendingTasks);
             if (tasksOverQuota > 0) {
                 double missingCpus =
                         tasksOverQuota * spec.cpus() - reclaimedTeamCpus.getDouble(spec.team());
@@ -100,13 +101,16 @@
                 selectVictims(
                         spec,
                         missingCpus,
-                        candidate -> candidate.job().spec().team().equals(spec.team()));
+                        candidate ->
+                                candidate.job().spec().team().equals(spec.team())
+                                        && job.mayStartOn(candidate.machine().id()));
             }
             // ReplicaPreemption frees capacity for replicas of services.
             if (unplacedTasks > 0 && spec.workloadType().runsToCompletion()) {
                 double missingCpus = unplacedTasks * spec.cpus() - reclaimedCpus;
                 reclaimedCpus = Math.max(0, -missingCpus);
-                selectVictims(spec, missingCpus, candidate -> true);
+                selectVictims(
+                        spec, missingCpus, candidate -> job.mayStartOn(candidate.machine().id()));
             }
         }
         return chosen;
--- a/src/main/java/org/shoreusher/core/schedule/ReplicaPreemption.java
+++ b/src/main/java/org/shoreusher/core/schedule/ReplicaPreemption.java
@@ -106,7 +106,7 @@
     private static boolean canRunOn(Machine machine, Job job, ZoneConstraints zoneConstraints) {
         return job.spec().allowsMachine(machine.type().name(), machine.zone(), machine.isSpot())
                 && zoneConstraints.remainingTasks(machine.zone()) > 0
-                && !job.failedMachineIds().contains(machine.id());
+                && !job.failures().avoidedMachineIds().contains(machine.id());
     }
 
     /** Returns the CPU-seconds that a replica would spend on fetching its image. */
--- a/src/test/java/org/shoreusher/simulation/ClusterSimulation.java
+++ b/src/test/java/org/shoreusher/simulation/ClusterSimulation.java
@@ -3,10 +3,12 @@
 import java.io.IOException;
 import java.util.ArrayList;
 import java.util.Comparator;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.PriorityQueue;
 import java.util.Random;
+import java.util.Set;
 import java.util.function.BiConsumer;
 import java.util.function.Consumer;
 import java.util.function.IntPredicate;
@@ -43,6 +45,10 @@
     private final PriorityQueue<Event> events =
             new PriorityQueue<>(
                     Comparator.comparingLong(Event::atMs).thenComparingLong(Event::sequence));
+
+    /** Jobs that were submitted with a mistake: their tasks fail on every machine. */
+    final Set<String> mistakenJobIds = new HashSet<>();
+
     final Random random;
     final Settings settings;
 
--- a/src/test/java/org/shoreusher/simulation/SimulatedCloud.java
+++ b/src/test/java/org/shoreusher/simulation/SimulatedCloud.java
@@ -48,6 +48,9 @@
     /** Whether the inventory always lags by twice its nominal lag rather than by a random time. */
     boolean hasLongestLag;
 
+    /** On this many machines, the first that are provisioned, every task fails. */
+    int faultyMachines;
+
     private long provisioningDelayedUntilMs;
     private long maxProvisioningDelayMs;
 
@@ -72,6 +75,11 @@
         provisioningDelayedUntilMs = simulation.nowMs + durationMs;
     }
 
+    /** Number of machines that were provisioned so far. */
+    int machinesProvisioned() {
+        return machinesProvisioned;
+    }
+
     Iterable<SimulatedWorker> machines() {
         return new ArrayList<>(machines.values());
     }
@@ -252,6 +260,7 @@
                             provision.zone(),
                             provision.spot(),
                             machinesProvisioned);
+            machine.faulty = machinesProvisioned <= faultyMachines;
             machines.put(id, machine);
             machineByAddress.put(machine.address(), machine);
             ids.add(id);
--- a/src/test/java/org/shoreusher/simulation/SimulatedTasks.java
+++ b/src/test/java/org/shoreusher/simulation/SimulatedTasks.java
@@ -164,7 +164,9 @@
                                         // Stopped meanwhile; exits after its checkpoint.
                                         return;
                                     }
-                                    if (simulation.random.nextInt(ONE_TASK_FAILS_IN) == 0) {
+                                    if (worker.faulty
+                                            || simulation.mistakenJobIds.contains(task.jobId)
+                                            || simulation.random.nextInt(ONE_TASK_FAILS_IN) == 0) {
                                         simulation.invariants.taskFailed(name);
                                         exitTask(name, task, ExitCause.ERROR);
                                     } else {
--- a/src/test/java/org/shoreusher/simulation/SimulatedWorker.java
+++ b/src/test/java/org/shoreusher/simulation/SimulatedWorker.java
@@ -28,6 +28,10 @@
     private final int number;
     private final SimulatedTasks tasks;
     private boolean isUp;
+
+    /** Whether every task fails on this machine. */
+    boolean faulty;
+
     private boolean terminated;
     private long hangingUntilMs;
     private long inboundBlockedUntilMs;
