A job that waits for long gets an on-demand machine where spot machines are unavailable

A job that may use spot machines, in whose zone or of whose types the cloud has none, waited for good while other machines ran: an expensive on-demand machine was provisioned only for a shortfall of half of all running CPUs.

Change: a job without a task on a machine 150 s after its acceptance, that gets no machine otherwise, gets one on-demand machine, if none is booting or requested. That limits the cost to one machine per boot.

Evidence: AutoscalerTest.provisionsAnExpensiveMachineForAJobThatWaitsForLong fails on the code before (no request within 240 s).

--- a/src/main/java/org/shoreusher/core/machine/Autoscaler.java
+++ b/src/main/java/org/shoreusher/core/machine/Autoscaler.java
@@ -61,7 +61,7 @@
                 new TargetParallelism(outbox, runTimeEstimates, scheduling.schedulingOrder());
         scaleOut = new ScaleOut(context, machines.lifecycle(), this::replanNow);
         scaleIn = new ScaleIn(context, machines.lifecycle());
-        kindSelector = new MachineKindSelector(shard, typeCatalog, scaleOut, shortfall);
+        kindSelector = new MachineKindSelector(shard, outbox, typeCatalog, scaleOut, shortfall);
         reservedReplicaCapacity = new ReservedReplicaCapacity(context, typeCatalog, scaleOut);
         machineCordon = new MachineCordon(context, scheduling.taskStopper());
         handover = new MachineHandover(context, machines.machineRecords(), shardDemand);
--- a/src/main/java/org/shoreusher/core/machine/MachineConstants.java
+++ b/src/main/java/org/shoreusher/core/machine/MachineConstants.java
@@ -98,6 +98,12 @@
      */
     static final double RESERVED_CAPACITY_INITIAL_CPUS = 16;
 
+    /**
+     * ms; a job without a task on a machine this long after its acceptance may get an expensive
+     * on-demand machine, so that it begins within four minutes.
+     */
+    static final long LAST_RESORT_WAIT_MS = 150_000;
+
     /**
      * Shortfall of CPUs, as a share of the CPUs of running machines, above which expensive
      * on-demand machines are also provisioned for tasks that may run on spot machines.
--- a/src/main/java/org/shoreusher/core/machine/MachineKindSelector.java
+++ b/src/main/java/org/shoreusher/core/machine/MachineKindSelector.java
@@ -1,14 +1,21 @@
 package org.shoreusher.core.machine;
 
 import it.unimi.dsi.fastutil.objects.Object2IntOpenHashMap;
+import java.util.List;
 import java.util.Optional;
+import java.util.function.Predicate;
+import org.shoreusher.core.cluster.Job;
+import org.shoreusher.core.cluster.Machine;
 import org.shoreusher.core.cluster.ShardState;
 import org.shoreusher.core.message.JobSpec;
 import org.shoreusher.core.message.MachineType;
+import org.shoreusher.core.schedule.MachineCapacity;
+import org.shoreusher.core.store.Outbox;
 
 /** Selects the kind of machine to provision for a job. */
 final class MachineKindSelector {
     private final ShardState shard;
+    private final Outbox outbox;
     private final MachineTypeCatalog typeCatalog;
     private final ScaleOut scaleOut;
     private final CapacityShortfall shortfall;
@@ -16,10 +23,12 @@
     /** Creates the selector of a shard. */
     MachineKindSelector(
             ShardState shard,
+            Outbox outbox,
             MachineTypeCatalog typeCatalog,
             ScaleOut scaleOut,
             CapacityShortfall shortfall) {
         this.shard = shard;
+        this.outbox = outbox;
         this.typeCatalog = typeCatalog;
         this.scaleOut = scaleOut;
         this.shortfall = shortfall;
@@ -34,17 +43,53 @@
      * @param machinesPerZone number of existing, requested and planned machines by zone
      */
     Optional<MachineKind> select(JobSpec spec, Object2IntOpenHashMap<String> machinesPerZone) {
-        Optional<MachineKind> spotKind = select(spec, true, machinesPerZone);
-        return spotKind.isPresent() ? spotKind : select(spec, false, machinesPerZone);
+        Optional<MachineKind> spotKind =
+                select(spec, true, type -> type.canFit(spec), machinesPerZone);
+        return spotKind.isPresent()
+                ? spotKind
+                : select(spec, false, type -> isOnDemandEligible(type, spec), machinesPerZone);
+    }
+
+    /**
+     * Returns an on-demand kind, however expensive, for a job that has no task on a machine long
+     * after its acceptance and gets no machine otherwise: the spot machines that it may use may be
+     * unavailable for good. Empty if another on-demand machine is coming already, which limits the
+     * cost.
+     *
+     * @param machinesPerZone number of existing, requested and planned machines by zone
+     * @param planned the machines that the plan adds
+     */
+    Optional<MachineKind> selectLastResort(
+            Job job, Object2IntOpenHashMap<String> machinesPerZone, List<MachineCapacity> planned) {
+        long waitMs = outbox.now().wallMs() - job.acceptedWallMs();
+        if (!job.activeAttempts().isEmpty()
+                || waitMs < MachineConstants.LAST_RESORT_WAIT_MS
+                || isOnDemandMachineComing(planned)) {
+            return Optional.empty();
+        }
+        return select(job.spec(), false, type -> type.canFit(job.spec()), machinesPerZone);
+    }
+
+    private boolean isOnDemandMachineComing(List<MachineCapacity> planned) {
+        return planned.stream().anyMatch(capacity -> !capacity.isSpot())
+                || scaleOut.pendingCapacity().stream().anyMatch(capacity -> !capacity.isSpot())
+                || shard.machines().values().stream()
+                        .anyMatch(
+                                machine ->
+                                        machine.state() == Machine.State.BOOTING
+                                                && !machine.isSpot());
     }
 
     private Optional<MachineKind> select(
-            JobSpec spec, boolean spot, Object2IntOpenHashMap<String> machinesPerZone) {
+            JobSpec spec,
+            boolean spot,
+            Predicate<MachineType> isEligible,
+            Object2IntOpenHashMap<String> machinesPerZone) {
         MachineKind best = null;
         double lowestPrice = Double.MAX_VALUE;
         for (MachineType type : typeCatalog.all()) {
             double price = MachinePricing.pricePerTask(type, spot, spec);
-            if (price > lowestPrice || !isEligible(type, spot, spec)) {
+            if (price > lowestPrice || !isEligible.test(type)) {
                 continue;
             }
             for (String zone : type.zones()) {
@@ -67,8 +112,8 @@
         return Optional.ofNullable(best);
     }
 
-    private boolean isEligible(MachineType type, boolean spot, JobSpec spec) {
-        return type.canFit(spec) && (spot || !spec.spotAllowed() || isOnDemandWorthwhile(type));
+    private boolean isOnDemandEligible(MachineType type, JobSpec spec) {
+        return type.canFit(spec) && (!spec.spotAllowed() || isOnDemandWorthwhile(type));
     }
 
     /**
--- a/src/main/java/org/shoreusher/core/machine/ProvisionPlan.java
+++ b/src/main/java/org/shoreusher/core/machine/ProvisionPlan.java
@@ -73,6 +73,7 @@
         while (unplaced > 0 && toProvision.size() < maxNewMachines) {
             Optional<MachineKind> kind = kindSelector.select(job.spec(), machinesPerZone);
             if (kind.isEmpty()) {
+                addLastResort(job, unplaced);
                 return;
             }
             addRound(kind.get(), job, unplaced);
@@ -80,6 +81,16 @@
         }
     }
 
+    /** Adds an on-demand machine for a job that has waited for long, if there is none coming. */
+    private void addLastResort(Job job, int unplaced) {
+        Optional<MachineKind> kind =
+                kindSelector.selectLastResort(job, machinesPerZone, toProvision);
+        if (kind.isPresent()) {
+            addMachines(kind.get(), 1);
+            binPacker.place(job, unplaced);
+        }
+    }
+
     /**
      * Adds machines of one kind for a zone's share of the unplaced tasks. The next round selects
      * the zone that has the fewest machines by then, so that no zone gets all of them.
@@ -89,6 +100,11 @@
         int machinesPerRound =
                 unplaced / MachinePricing.tasksPerMachine(type, job.spec()) / type.zones().size();
         int count = Math.max(1, Math.min(machinesPerRound, maxNewMachines - toProvision.size()));
+        addMachines(kind, count);
+    }
+
+    private void addMachines(MachineKind kind, int count) {
+        MachineType type = typeCatalog.get(kind.type());
         for (int i = 0; i < count; i++) {
             MachineCapacity capacity = new MachineCapacity(type, kind.zone(), kind.spot());
             toProvision.add(capacity);
--- a/src/test/java/org/shoreusher/simulation/AutoscalerTest.java
+++ b/src/test/java/org/shoreusher/simulation/AutoscalerTest.java
@@ -9,9 +9,13 @@
 import java.util.List;
 import java.util.Map;
 import net.jqwik.api.Example;
+import org.shoreusher.core.JobSpecBuilder;
 import org.shoreusher.core.message.Command;
 import org.shoreusher.core.message.Effect.CloudOperation;
 import org.shoreusher.core.message.ReplyStatus;
+import org.shoreusher.core.message.WorkerHeartbeat.ExitCause;
+import org.shoreusher.core.message.WorkerHeartbeat.TaskState;
+import org.shoreusher.core.message.WorkerHeartbeat.TaskStatus;
 import org.shoreusher.log.LogEventType;
 import org.shoreusher.settings.SettingsBuilder;
 
@@ -136,6 +140,53 @@
                 List.of("large spot", "small spot", "large on demand", "small on demand"), order);
     }
 
+    /**
+     * A job in whose zone the cloud has no spot machines gets an on-demand one before it is four
+     * minutes old. It waited for good while other machines ran, since a small shortfall of CPUs did
+     * not justify the price.
+     */
+    @Example
+    void provisionsAnExpensiveMachineForAJobThatWaitsForLong() {
+        List<String> onDemand = new ArrayList<>();
+        node.cloud =
+                operation -> {
+                    if (!(operation instanceof CloudOperation.Provision provision)) {
+                        return reply(ReplyStatus.NO_REPLY, null);
+                    }
+                    if (provision.spot()) {
+                        return reply(
+                                ReplyStatus.SERVICE_UNAVAILABLE, Map.of("error", "no capacity"));
+                    }
+                    onDemand.add(provision.zone() + " " + provision.count());
+                    return reply(
+                            ReplyStatus.OK,
+                            Map.of("boxes", List.of("host-" + (1 + onDemand.size()))));
+                };
+        node.storeShardOfPreviousLeader("host-1");
+        node.writeToStore(
+                "types",
+                Map.of("presses", List.of(machineType(SimulatedCloud.SMALL_TYPE, 8, 0.27, 0.11))));
+        node.runSteps(20);
+        // Its task keeps the other machine in use.
+        node.addOpenJob("wk-2", 1);
+        TaskStatus running = new TaskStatus("wk-2", 0, 1, TaskState.RUNNING, ExitCause.NONE);
+        node.heartbeat("host-1", 1, SingleNodeSimulation.PREVIOUS_TERM, running);
+        node.heartbeat("host-1", 2, TERM, running);
+        node.runSteps(20);
+        node.addOpenJob(new JobSpecBuilder("wk-1").zone("b").build());
+        long acceptedAtMs = node.nowMs;
+        for (int sequenceNumber = 3; node.nowMs < acceptedAtMs + 240_000; sequenceNumber++) {
+            node.heartbeat("host-1", sequenceNumber, TERM, running);
+            node.runSteps(40);
+            if (node.nowMs < acceptedAtMs + 100_000) {
+                assertEquals(List.of(), onDemand);
+            }
+        }
+        assertEquals(List.of("b 1"), onDemand.stream().distinct().toList());
+        // One at a time; none of them boots, and each is given up after four times its boot time.
+        assertTrue(onDemand.size() <= 90 / (4 * 5) + 1, "on demand: " + onDemand.size());
+    }
+
     /**
      * A machine that may have run tasks has booted. A successor that gets no heartbeat from it must
      * not treat it as one that failed to boot, and keeps it for more than a minute.
