The state of an open job is told only from a source of known age

Cause: unknown task counts were zeros. A node that does not lead the shard took them from the last gossip of any node, of any age; a restarted leader replaced that with gossip without jobs, and until the failover was complete nobody had counts. The same in other places: repeated submissions, a new leader before its reconciliation is complete and its gossip, a former leader that was paused for longer than its lease.

Change: TaskCountSource returns nothing where the counts are unknown, and the answer is then 503. Sources (KnownTaskCounts): the leader's own state with a valid lease, in reconciliation only for jobs with a known active task or none of unknown state; gossip of at most 2 s of a node that led the shard; acceptance less than 2.5 s ago. A node without counts for 30 s while the leader renews its lease is not ready, so that users reach the leader.

Since an unknown job has no answer now, every job has to be in the gossip. A message with more than 10,000 open jobs was rejected as a whole by its receivers. Jobs are spread over several messages now (TaskCountSlices), each at least every 1.5 s; jobs without completed tasks are left out of the map of completed tasks. The form is as before.

Why this works: whoever tells a state has it from a leader that had a valid lease at most 2 s, and at most four clock offsets, before. Without one the user gets 503 and asks again.

--- a/src/main/java/org/shoreusher/core/CoreConstants.java
+++ b/src/main/java/org/shoreusher/core/CoreConstants.java
@@ -4,6 +4,13 @@
 final class CoreConstants {
     private CoreConstants() {}
 
+    /**
+     * ms; a job that was accepted at most this long ago is reported as pending if its task counts
+     * are unknown. The state that users get may lag by 3 s (protocol); the rest is for the
+     * response.
+     */
+    static final long JUST_ACCEPTED_MS = 2_500;
+
     /** ms; how often a node checks whether it leads at least two shards more than another node. */
     static final long SHARD_REBALANCE_INTERVAL_MS = 5_000;
 
--- a/src/main/java/org/shoreusher/core/Node.java
+++ b/src/main/java/org/shoreusher/core/Node.java
@@ -1,7 +1,6 @@
 package org.shoreusher.core;
 
 import java.util.List;
-import org.shoreusher.core.cluster.Job;
 import org.shoreusher.core.gossip.GossipConstants;
 import org.shoreusher.core.gossip.PeerGossip;
 import org.shoreusher.core.job.SubmissionBatches;
@@ -41,6 +40,7 @@
     private final CancellationReceiver cancellationReceiver;
     private final PeerGossip peerGossip;
     private final NewJobAssignment newJobAssignment;
+    private final KnownTaskCounts knownTaskCounts;
     private final HeartbeatRouter heartbeatRouter;
     private final StoreChangeRouter storeChangeRouter;
 
@@ -69,6 +69,7 @@
         peerGossip = new PeerGossip(settings, outbox, shardCount, this::ledShard);
         shards = new Shards(shardCount, services, peerGossip, processName);
         newJobAssignment = new NewJobAssignment(peerGossip, shardCount);
+        knownTaskCounts = new KnownTaskCounts(settings, outbox, shards, peerGossip);
         cancellationPropagation =
                 new CancellationPropagation(context, shardCount, shards::hasValidLease);
         cancellationReceiver =
@@ -80,7 +81,7 @@
                         typeCatalog,
                         cancellationPropagation,
                         processName,
-                        this::taskCounts,
+                        knownTaskCounts,
                         newJobAssignment::assign);
         heartbeatRouter = new HeartbeatRouter(services, shards, peerGossip);
         storeChangeRouter =
@@ -180,21 +181,15 @@
     /**
      * Returns whether the load balancer should send user requests to this node. A node that can't
      * reach the key-value store while a peer can is not ready. If no node reaches the store, this
-     * one stays ready, because the load balancer takes seconds to put a node back into service.
+     * one stays ready, because the load balancer takes seconds to put a node back into service. A
+     * node that has heard nothing of a shard's leader for long can't tell the state of jobs, and is
+     * not ready while the leader can.
      */
     private boolean isReady() {
-        if (!storeCache.isLoaded() || !typeCatalog.isLoaded()) {
+        if (!storeCache.isLoaded() || !typeCatalog.isLoaded() || knownTaskCounts.areMissing()) {
             return false;
         }
         return outbox.sinceStoreReplyMs() < GossipConstants.STORE_UNREACHABLE_TIMEOUT_MS
                 || !peerGossip.anyPeerReachesStore();
     }
-
-    private Response.TaskCounts taskCounts(String jobId) {
-        Job job = shards.openJob(jobId);
-        return job == null
-                ? peerGossip.taskCounts(jobId)
-                : new Response.TaskCounts(
-                        job.completedTasks().cardinality(), job.activeAttempts().size());
-    }
 }
--- a/src/main/java/org/shoreusher/core/Shard.java
+++ b/src/main/java/org/shoreusher/core/Shard.java
@@ -1,6 +1,7 @@
 package org.shoreusher.core;
 
 import java.util.Map;
+import java.util.Optional;
 import org.shoreusher.core.cluster.Job;
 import org.shoreusher.core.cluster.ShardContext;
 import org.shoreusher.core.cluster.ShardState;
@@ -20,6 +21,7 @@
 import org.shoreusher.core.machine.MachineLifecycle;
 import org.shoreusher.core.machine.ShardMachines;
 import org.shoreusher.core.message.GossipMessage.ShardSummary;
+import org.shoreusher.core.message.Response.TaskCounts;
 import org.shoreusher.core.reconcile.PromotedAttemptLog;
 import org.shoreusher.core.reconcile.Reconciliation;
 import org.shoreusher.core.replication.StandbyReplication;
@@ -164,6 +166,33 @@
         return authority.isLeader();
     }
 
+    @Override
+    public Optional<TaskCounts> taskCounts(Job job) {
+        boolean isKnown =
+                authority.isReconciled()
+                        || areAllTasksKnown(job)
+                        || !job.activeAttempts().isEmpty();
+        return isKnown
+                ? Optional.of(
+                        new TaskCounts(
+                                job.completedTasks().cardinality(), job.activeAttempts().size()))
+                : Optional.empty();
+    }
+
+    /**
+     * Whether it is known of each task whether it is pending, active or completed. During
+     * reconciliation a task that a previous leader may have started is none of these until its
+     * machine is heard of.
+     */
+    private static boolean areAllTasksKnown(Job job) {
+        int activeTasks = 0;
+        for (int taskIndex : job.activeAttempts().keySet()) {
+            activeTasks += job.completedTasks().get(taskIndex) ? 0 : 1;
+        }
+        int knownTasks = job.pendingCount() + activeTasks + job.completedTasks().cardinality();
+        return knownTasks >= job.spec().taskCount();
+    }
+
     @Override
     public Map<String, Job> jobs() {
         return state.jobs();
--- a/src/main/java/org/shoreusher/core/Shards.java
+++ b/src/main/java/org/shoreusher/core/Shards.java
@@ -1,6 +1,5 @@
 package org.shoreusher.core;
 
-import org.shoreusher.core.cluster.Job;
 import org.shoreusher.core.leadership.AcquiredLeadership;
 import org.shoreusher.core.leadership.LeadershipAcquisition;
 import org.shoreusher.core.leadership.LeadershipPeerView;
@@ -179,17 +178,6 @@
         return null;
     }
 
-    /** Returns the job, or null if it is not an open job of a led shard. */
-    Job openJob(String jobId) {
-        for (Shard shard : ledShards) {
-            Job job = shard == null ? null : shard.jobs().get(jobId);
-            if (job != null) {
-                return job;
-            }
-        }
-        return null;
-    }
-
     /** Passes a new record of a machine to the led shards. */
     void onMachineRecordChange(String machineId, MachineRecord record) {
         for (Shard shard : ledShards) {
--- a/src/main/java/org/shoreusher/core/gossip/GossipConstants.java
+++ b/src/main/java/org/shoreusher/core/gossip/GossipConstants.java
@@ -52,6 +52,30 @@
      */
     static final long PEER_UNRESPONSIVE_MS = 1_500;
 
+    /**
+     * ms; task counts in gossip that are older are not reported to users. The state that users get
+     * may lag by 3 s (protocol); the rest is for the heartbeat and the response.
+     */
+    static final long MAX_TASK_COUNT_AGE_MS = 2_000;
+
+    /**
+     * ms; a node without task counts from a shard's leader for this long is not ready while the
+     * leader renews its lease, so that users are routed to the leader.
+     */
+    static final long TASK_COUNTS_MISSING_TIMEOUT_MS = 30_000;
+
+    /**
+     * Jobs with task counts in one message on average, which keeps it below the limit of 256 KiB
+     * even with the longest job ids.
+     */
+    static final int JOBS_PER_MESSAGE = 2_000;
+
+    /**
+     * ms; each open job is in a message at least this often, or in every message if all fit into
+     * one. Less than the largest age of task counts that are reported to users.
+     */
+    static final long TASK_COUNT_CYCLE_MS = 1_500;
+
     /** ms; older gossip is not used for decisions. */
     public static final long MAX_GOSSIP_AGE_MS = 5_000;
 }
--- a/src/main/java/org/shoreusher/core/gossip/GossipSender.java
+++ b/src/main/java/org/shoreusher/core/gossip/GossipSender.java
@@ -3,7 +3,6 @@
 import java.util.HashMap;
 import java.util.Map;
 import java.util.function.IntFunction;
-import org.shoreusher.core.cluster.Job;
 import org.shoreusher.core.leadership.LeadershipConstants;
 import org.shoreusher.core.message.Effect;
 import org.shoreusher.core.message.GossipMessage;
@@ -11,7 +10,7 @@
 import org.shoreusher.core.store.Outbox;
 import org.shoreusher.settings.Settings;
 
-/** Sends this node's gossip to the peers at a fixed interval. */
+/** Sends this node's gossip to the peers at intervals. */
 final class GossipSender {
     private static final double MS_PER_S = 1000.0;
 
@@ -24,6 +23,8 @@
 
     private final RedirectedWorkers[] redirectedWorkersByShard;
 
+    private final TaskCountSlices taskCountSlices = new TaskCountSlices();
+
     /** Whether {@link #startedMs} has been set. */
     private boolean isStarted;
 
@@ -53,14 +54,19 @@
         shardCount = redirectedWorkersByShard.length;
     }
 
-    /** Records the time of the first batch of commands; later calls do nothing. */
-    void recordStart() {
-        if (!isStarted) {
-            isStarted = true;
-            startedMs = outbox.now().monotonicMs();
-            // A previous process on this host may have reported a store outage until it ended.
-            lastStoreOutageSentMs = startedMs;
+    /**
+     * Records the time of the first batch of commands; later calls do nothing. Returns whether this
+     * call was the first.
+     */
+    boolean recordStart() {
+        if (isStarted) {
+            return false;
         }
+        isStarted = true;
+        startedMs = outbox.now().monotonicMs();
+        // A previous process on this host may have reported a store outage until it ended.
+        lastStoreOutageSentMs = startedMs;
+        return true;
     }
 
     /** Seconds since the first batch of commands. */
@@ -86,30 +92,21 @@
         if (nowMs < nextSendMs) {
             return false;
         }
-        nextSendMs = nowMs + GossipConstants.GOSSIP_INTERVAL_MS;
         boolean isStoreReachable =
                 outbox.sinceStoreReplyMs() < GossipConstants.STORE_UNREACHABLE_TIMEOUT_MS;
         if (!isStoreReachable) {
             lastStoreOutageSentMs = nowMs;
         }
         outbox.add(new Effect.SendGossip(message(isStoreReachable)));
+        nextSendMs = nowMs + taskCountSlices.intervalMs();
         return true;
     }
 
     private GossipMessage message(boolean isStoreReachable) {
+        Map<Integer, LedShardView> shards = shardsWithValidLease();
         Map<Integer, ShardSummary> summaries = new HashMap<>();
-        Map<String, Integer> runningTasks = new HashMap<>();
-        Map<String, Integer> completedTasks = new HashMap<>();
-        for (int shardNumber = 0; shardNumber < shardCount; shardNumber++) {
-            LedShardView shard = ledShards.apply(shardNumber);
-            if (shard != null && shard.isLeader()) {
-                summaries.put(shardNumber, shard.summary());
-                for (Job job : shard.jobs().values()) {
-                    runningTasks.put(job.id(), job.activeAttempts().size());
-                    completedTasks.put(job.id(), job.completedTasks().cardinality());
-                }
-            }
-        }
+        shards.forEach((shardNumber, shard) -> summaries.put(shardNumber, shard.summary()));
+        TaskCountSlices.Slice taskCounts = taskCountSlices.next(shards.values());
         return new GossipMessage(
                 settings.host(),
                 outbox.now().wallMs(),
@@ -117,8 +114,19 @@
                 uptimeS(),
                 summaries,
                 redirectedWorkerCounts(),
-                runningTasks,
-                completedTasks);
+                taskCounts.runningTasks(),
+                taskCounts.completedTasks());
+    }
+
+    private Map<Integer, LedShardView> shardsWithValidLease() {
+        Map<Integer, LedShardView> shards = new HashMap<>();
+        for (int shardNumber = 0; shardNumber < shardCount; shardNumber++) {
+            LedShardView shard = ledShards.apply(shardNumber);
+            if (shard != null && shard.isLeader()) {
+                shards.put(shardNumber, shard);
+            }
+        }
+        return shards;
     }
 
     /**
--- a/src/main/java/org/shoreusher/core/gossip/PeerGossip.java
+++ b/src/main/java/org/shoreusher/core/gossip/PeerGossip.java
@@ -36,6 +36,8 @@
 
     private final GossipSender sender;
 
+    private final ReceivedTaskCounts taskCounts;
+
     /**
      * Creates the gossip of one node without any message.
      *
@@ -49,6 +51,7 @@
         this.settings = settings;
         this.outbox = outbox;
         this.ledShards = ledShards;
+        taskCounts = new ReceivedTaskCounts(settings, outbox, shardCount);
         redirectedWorkersByShard = new RedirectedWorkers[shardCount];
         Arrays.setAll(redirectedWorkersByShard, shardNumber -> new RedirectedWorkers());
         sender = new GossipSender(settings, outbox, ledShards, redirectedWorkersByShard);
@@ -56,7 +59,9 @@
 
     /** Records the time of the first batch of commands; later calls do nothing. */
     public void recordStart() {
-        sender.recordStart();
+        if (sender.recordStart()) {
+            taskCounts.recordStart();
+        }
     }
 
     /** Sends gossip to the peers if it is due; returns whether it did. */
@@ -66,7 +71,7 @@
 
     /** Handles a message from a peer. */
     public void receive(GossipMessage message) {
-        receivedMessages.put(message, nowMs());
+        taskCounts.recordReceipt(receivedMessages.put(message, nowMs()));
     }
 
     private long nowMs() {
@@ -212,19 +217,19 @@
     }
 
     /**
-     * The task counts of a job in the shard of another leader, for display; zeros if no peer's last
-     * message contains the job. The age of the message does not matter.
+     * The task counts of a job as its shard's leader sent them a short time ago; empty if no peer
+     * did.
      */
-    public TaskCounts taskCounts(String jobId) {
-        for (PeerMessage peerMessage : receivedMessages.all()) {
-            Integer running = peerMessage.message().runningTasks().get(jobId);
-            Integer completed = peerMessage.message().completedTasks().get(jobId);
-            if (running != null || completed != null) {
-                return new TaskCounts(
-                        completed == null ? 0 : completed, running == null ? 0 : running);
-            }
-        }
-        return new TaskCounts(0, 0);
+    public Optional<TaskCounts> taskCounts(int shardNumber, String jobId) {
+        return taskCounts.taskCounts(shardNumber, jobId);
+    }
+
+    /**
+     * Whether no leader of a shard has sent task counts to this node for so long that users should
+     * rather be routed to the leader.
+     */
+    public boolean areTaskCountsMissing(int shardNumber) {
+        return taskCounts.areMissing(shardNumber);
     }
 
     @Override
--- a/src/main/java/org/shoreusher/core/gossip/ReceivedMessages.java
+++ b/src/main/java/org/shoreusher/core/gossip/ReceivedMessages.java
@@ -28,9 +28,11 @@
     private final Object2ObjectOpenHashMap<String, PeerMessage> lastByHost =
             new Object2ObjectOpenHashMap<>();
 
-    /** Replaces the sender's previous message. */
-    void put(GossipMessage message, long nowMs) {
-        lastByHost.put(message.senderHost(), new PeerMessage(message, nowMs));
+    /** Replaces the sender's previous message; returns the new one. */
+    PeerMessage put(GossipMessage message, long nowMs) {
+        PeerMessage received = new PeerMessage(message, nowMs);
+        lastByHost.put(message.senderHost(), received);
+        return received;
     }
 
     /** The last message of a host; empty if there is none. */
--- a/src/main/java/org/shoreusher/core/message/GossipMessage.java
+++ b/src/main/java/org/shoreusher/core/message/GossipMessage.java
@@ -4,7 +4,8 @@
 
 /**
  * The state that a node sends to its peers at intervals. Correctness never depends on gossip: a
- * wrong, late or missing message only causes delays.
+ * wrong, late or missing message only causes delays. A message contains the task counts of some or
+ * all open jobs; a job that is missing has unknown counts.
  *
  * @param senderHost the sender's host name
  * @param sentWallMs when the message was sent, in ms since the Unix epoch, by the sender's clock
@@ -14,8 +15,10 @@
  * @param redirectedWorkers by shard, the number of workers that received responses from the shard's
  *     leader before and have sent heartbeats to the sender since; leaders use it to detect one-way
  *     partitions
- * @param runningTasks the number of active tasks by job id, for display
- * @param completedTasks the number of completed tasks by job id, for display
+ * @param runningTasks the number of active tasks by job id, of which users are told for a short
+ *     time
+ * @param completedTasks the number of completed tasks by job id, for display; a job without an
+ *     entry that has one in runningTasks has none
  */
 public record GossipMessage(
         String senderHost,
--- a/src/main/java/org/shoreusher/core/user/JobStateResponses.java
+++ b/src/main/java/org/shoreusher/core/user/JobStateResponses.java
@@ -1,5 +1,6 @@
 package org.shoreusher.core.user;
 
+import java.util.Optional;
 import org.shoreusher.core.message.Response;
 import org.shoreusher.core.message.Response.DisplayState;
 import org.shoreusher.core.message.Response.JobState;
@@ -12,26 +13,33 @@
 
     private final TaskCountSource taskCounts;
 
-    /** Creates responses with the counts of a source, which are for display only. */
+    /** Creates responses with the counts of a source. */
     JobStateResponses(TaskCountSource taskCounts) {
         this.taskCounts = taskCounts;
     }
 
-    /** The response to a poll: the state and the task counts of the job. */
-    Response withCounts(String jobId, JobRecord record) {
-        TaskCounts currentCounts = taskCounts.taskCounts(jobId);
+    /**
+     * The response to a poll: the state and the task counts of the job; empty if this node does not
+     * know the state of an open job.
+     */
+    Optional<Response> withCounts(String jobId, JobRecord record) {
+        Optional<TaskCounts> currentCounts = taskCounts.taskCounts(jobId, record);
         return switch (record.status()) {
             case DONE ->
-                    withCounts(
-                            jobId,
-                            DisplayState.DONE,
-                            new TaskCounts(record.taskCount(), NONE_RUNNING));
+                    Optional.of(
+                            withCounts(
+                                    jobId,
+                                    DisplayState.DONE,
+                                    new TaskCounts(record.taskCount(), NONE_RUNNING)));
             case CANCELLED ->
-                    withCounts(
-                            jobId,
-                            DisplayState.CANCELLED,
-                            new TaskCounts(currentCounts.completed(), NONE_RUNNING));
-            case OPEN -> withCounts(jobId, openState(currentCounts), currentCounts);
+                    Optional.of(
+                            withCounts(
+                                    jobId,
+                                    DisplayState.CANCELLED,
+                                    new TaskCounts(
+                                            currentCounts.map(TaskCounts::completed).orElse(0),
+                                            NONE_RUNNING)));
+            case OPEN -> currentCounts.map(counts -> withCounts(jobId, openState(counts), counts));
         };
     }
 
@@ -39,15 +47,19 @@
         return new JobState(jobId, state, counts, /* created= */ false);
     }
 
-    /** The response with the state of an existing job, without its task counts. */
-    Response stateOnly(String jobId, JobRecord record) {
-        DisplayState state =
-                switch (record.status()) {
-                    case DONE -> DisplayState.DONE;
-                    case CANCELLED -> DisplayState.CANCELLED;
-                    case OPEN -> openState(taskCounts.taskCounts(jobId));
-                };
-        return new JobState(jobId, state);
+    /**
+     * The response with the state of an existing job, without its task counts; empty if this node
+     * does not know the state of an open job.
+     */
+    Optional<Response> stateOnly(String jobId, JobRecord record) {
+        return switch (record.status()) {
+            case DONE -> Optional.of(new JobState(jobId, DisplayState.DONE));
+            case CANCELLED -> Optional.of(new JobState(jobId, DisplayState.CANCELLED));
+            case OPEN ->
+                    taskCounts
+                            .taskCounts(jobId, record)
+                            .map(counts -> new JobState(jobId, openState(counts)));
+        };
     }
 
     /** The response to a submission that has just become durable. */
--- a/src/main/java/org/shoreusher/core/user/TaskCountSource.java
+++ b/src/main/java/org/shoreusher/core/user/TaskCountSource.java
@@ -1,13 +1,15 @@
 package org.shoreusher.core.user;
 
+import java.util.Optional;
 import org.shoreusher.core.message.Response.TaskCounts;
+import org.shoreusher.core.store.JobRecord;
 
-/** The source of task counts, which are for display only. */
+/** The source of task counts. */
 @FunctionalInterface
 public interface TaskCountSource {
     /**
-     * Returns the latest counts of completed and running tasks that this node has for a job; zeros
-     * if it has none.
+     * Returns the counts of completed and running tasks of an open job, at most as old as users
+     * accept; empty if this node does not know them.
      */
-    TaskCounts taskCounts(String jobId);
+    Optional<TaskCounts> taskCounts(String jobId, JobRecord record);
 }
--- a/src/main/java/org/shoreusher/core/user/UserRequests.java
+++ b/src/main/java/org/shoreusher/core/user/UserRequests.java
@@ -1,5 +1,6 @@
 package org.shoreusher.core.user;
 
+import java.util.Optional;
 import java.util.function.ToIntFunction;
 import org.shoreusher.core.job.SubmissionBatches;
 import org.shoreusher.core.job.TerminalJobCache;
@@ -108,7 +109,14 @@
                 jobId,
                 record,
                 AdmissionConstants.MAX_CANCELLATION_WAIT_OF_POLL_MS,
-                () -> outbox.respond(requestId, responses.withCounts(jobId, record)));
+                () -> respondIfKnown(requestId, responses.withCounts(jobId, record)));
+    }
+
+    /** Responds, or responds that the service is unavailable if the response is empty. */
+    private void respondIfKnown(long requestId, Optional<Response> response) {
+        response.ifPresentOrElse(
+                known -> outbox.respond(requestId, known),
+                () -> outbox.respondUnavailable(requestId));
     }
 
     /** Responds with the state of a job: at once, unless it is a cancellation that has to wait. */
@@ -225,7 +233,7 @@
                 jobId,
                 record,
                 AdmissionConstants.MAX_CANCELLATION_WAIT_MS,
-                () -> outbox.respond(requestId, responses.stateOnly(jobId, record)));
+                () -> respondIfKnown(requestId, responses.stateOnly(jobId, record)));
     }
 
     /** Sends the queued writes and reads, and the responses that are due. */
--- a/src/test/java/org/shoreusher/simulation/Invariants.java
+++ b/src/test/java/org/shoreusher/simulation/Invariants.java
@@ -16,11 +16,17 @@
     private static final long MAX_WITHOUT_RESPONSE_MS = 75_000;
     private static final long MAX_WAITING_MS = 90_000;
 
+    /** How far the state that users get may lag (protocol). */
+    private static final long MAX_STATE_LAG_MS = 3_000;
+
     private final ClusterSimulation simulation;
 
     /** The machine of each running task, by task name. */
     private final Map<String, SimulatedWorker> machineOfTask = new HashMap<>();
 
+    /** Since when some task of a job has run without a break, in ms, by job id. */
+    private final Map<String, Long> runningSinceMs = new HashMap<>();
+
     private final ResourceUsage resourceUsage = new ResourceUsage();
     private final Set<String> completedTasks = new HashSet<>();
 
@@ -71,6 +77,7 @@
         }
         JobSpec spec = job.spec;
         resourceUsage.add(spec, machine, 1);
+        runningSinceMs.putIfAbsent(jobId, simulation.nowMs);
         startsAfterCancellation += job.cancelConfirmed ? 1 : 0;
         double usedCpus = resourceUsage.cpusOfTeam(spec.team());
         double usedGpus = resourceUsage.gpusOfTeam(spec.team());
@@ -143,6 +150,9 @@
             JobSpec spec =
                     simulation.users.jobs.get(taskName.substring(0, taskName.indexOf('/'))).spec;
             resourceUsage.add(spec, machine, -1);
+            if (resourceUsage.tasksOfJob(spec.id()) == 0) {
+                runningSinceMs.remove(spec.id());
+            }
             checkCancelled(
                     taskName,
                     simulation.users.jobs.get(taskName.substring(0, taskName.indexOf('/'))));
@@ -265,6 +275,13 @@
             return;
         }
         String status = (String) response.body().get("status");
+        if (status.equals("pending")
+                && response.status() == 200
+                && runningSinceMs.getOrDefault(id, Long.MAX_VALUE) < sentAtMs - MAX_STATE_LAG_MS) {
+            recordViolation(
+                    "running_as_pending",
+                    id + " is called pending, but runs since ms " + runningSinceMs.get(id));
+        }
         boolean cancelled = status.equals("aborted");
         boolean done = status.equals("done");
         if (done) {
