--- a/src/test/java/org/shoreusher/simulation/LeaderFailureTest.java
+++ b/src/test/java/org/shoreusher/simulation/LeaderFailureTest.java
@@ -5,8 +5,10 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.util.ArrayList;
+import java.util.Arrays;
 import java.util.List;
 import java.util.function.BiConsumer;
+import java.util.function.Consumer;
 import net.jqwik.api.Example;
 import org.shoreusher.core.JobSpecBuilder;
 import org.shoreusher.core.message.JobSpec;
@@ -22,17 +24,29 @@
 class LeaderFailureTest {
     private static final long FAULT_MS = 60_000;
 
-    /** A fault that hits the leader of each shard at {@link #FAULT_MS}. */
-    private static List<Fault> faultOnLeaders(
-            BiConsumer<ClusterSimulation, SimulatedController> injection) {
-        return List.of(
-                new Fault(
-                        FAULT_MS,
-                        simulation ->
-                                FaultInjection.currentLeaders(simulation)
-                                        .forEach(
-                                                controller ->
-                                                        injection.accept(simulation, controller))));
+    /** Simulates a fault at {@link #FAULT_MS}, during and after which all invariants hold. */
+    private static ClusterSimulation simulate(long seed, Consumer<ClusterSimulation> fault) {
+        ClusterSimulation simulation =
+                ClusterSimulationTest.simulate(
+                        seed, InjectedDefect.NONE, List.of(new Fault(FAULT_MS, fault)));
+        assertEquals(List.of(), simulation.invariants.violations);
+        return simulation;
+    }
+
+    /** The same with a fault that hits the leader of each shard. */
+    private static ClusterSimulation simulateOnLeaders(
+            long seed, BiConsumer<ClusterSimulation, SimulatedController> fault) {
+        return simulate(seed, FaultInjection.onCurrentLeaders(fault));
+    }
+
+    /**
+     * The same with several seeds; returns when a shard was first reconciled in each run, in ms.
+     */
+    private static List<Long> reconciledAtMs(
+            long[] seeds, BiConsumer<ClusterSimulation, SimulatedController> fault) {
+        return Arrays.stream(seeds)
+                .mapToObj(seed -> firstReconciledAfterMs(simulateOnLeaders(seed, fault), FAULT_MS))
+                .toList();
     }
 
     /**
@@ -41,12 +55,7 @@
      */
     @Example
     void keepsTasksRunningThroughAStoreOutageLongerThanTheLease() {
-        ClusterSimulation simulation =
-                ClusterSimulationTest.simulate(
-                        3,
-                        InjectedDefect.NONE,
-                        List.of(new Fault(FAULT_MS, cluster -> cluster.store.outage(11_000))));
-        assertEquals(List.of(), simulation.invariants.violations);
+        ClusterSimulation simulation = simulate(3, cluster -> cluster.store.outage(11_000));
         assertFalse(
                 simulation.log.contains(LogEventType.WORKER_LEASE_EXPIRED),
                 simulation.log::toString);
@@ -59,13 +68,9 @@
     @Example
     void leaderRejectedByTheStoreRedirectsItsWorkers() {
         ClusterSimulation simulation =
-                ClusterSimulationTest.simulate(
+                simulateOnLeaders(
                         1,
-                        InjectedDefect.NONE,
-                        faultOnLeaders(
-                                (cluster, controller) ->
-                                        cluster.store.rejectHost(controller.host, 40_000)));
-        assertEquals(List.of(), simulation.invariants.violations);
+                        (cluster, controller) -> cluster.store.rejectHost(controller.host, 40_000));
         // The shard's lease of 9 s, which may have been renewed just before the fault, the
         // successor's delay, and one heartbeat of each redirected worker.
         assertTrue(
@@ -79,24 +84,15 @@
      */
     @Example
     void workersOfAnIsolatedLeaderReachTheSuccessorInTime() {
-        List<Long> reconciledAtMs = new ArrayList<>();
         // Multiples of 3: with these seeds there is one shard. The median is checked, since in some
         // runs a single message is delayed by seconds.
-        for (long seed : new long[] {0, 3, 6, 9, 12}) {
-            ClusterSimulation simulation =
-                    ClusterSimulationTest.simulate(
-                            seed,
-                            InjectedDefect.NONE,
-                            faultOnLeaders(
-                                    (cluster, controller) -> {
-                                        FaultInjection.isolateFromStoreAndPeers(
-                                                cluster, controller, 60_000);
-                                        FaultInjection.isolateFromWorkers(
-                                                cluster, controller, 60_000);
-                                    }));
-            assertEquals(List.of(), simulation.invariants.violations);
-            reconciledAtMs.add(firstReconciledAfterMs(simulation, FAULT_MS));
-        }
+        List<Long> reconciledAtMs =
+                reconciledAtMs(
+                        new long[] {0, 3, 6, 9, 12},
+                        (cluster, controller) -> {
+                            FaultInjection.isolateFromStoreAndPeers(cluster, controller, 60_000);
+                            FaultInjection.isolateFromWorkers(cluster, controller, 60_000);
+                        });
         // A failover after 7 s, and one heartbeat of each worker immediately afterwards. If the
         // workers waited for the isolated leader, the reconciliation would end after 12 s.
         assertTrue(
@@ -111,19 +107,12 @@
      */
     @Example
     void leaderThatReachesOnlyItsWorkersReleasesThem() {
-        List<Long> reconciledAtMs = new ArrayList<>();
-        for (long seed : new long[] {0, 3, 6}) {
-            ClusterSimulation simulation =
-                    ClusterSimulationTest.simulate(
-                            seed,
-                            InjectedDefect.NONE,
-                            faultOnLeaders(
-                                    (cluster, controller) ->
-                                            FaultInjection.isolateFromStoreAndPeers(
-                                                    cluster, controller, 60_000)));
-            assertEquals(List.of(), simulation.invariants.violations);
-            reconciledAtMs.add(firstReconciledAfterMs(simulation, FAULT_MS));
-        }
+        List<Long> reconciledAtMs =
+                reconciledAtMs(
+                        new long[] {0, 3, 6},
+                        (cluster, controller) ->
+                                FaultInjection.isolateFromStoreAndPeers(
+                                        cluster, controller, 60_000));
         // The shard's lease expires after 6 to 9 s, and one heartbeat of each worker follows. If
         // the leader kept its workers in a grace period, the reconciliation would end after 15 s or
         // more.
@@ -142,14 +131,10 @@
         List<Long> reconciledAtMs = new ArrayList<>();
         for (long seed : new long[] {0, 3, 6, 9, 12}) {
             ClusterSimulation simulation =
-                    ClusterSimulationTest.simulate(
+                    simulateOnLeaders(
                             seed,
-                            InjectedDefect.NONE,
-                            faultOnLeaders(
-                                    (cluster, controller) ->
-                                            FaultInjection.isolateFromWorkers(
-                                                    cluster, controller, 40_000)));
-            assertEquals(List.of(), simulation.invariants.violations);
+                            (cluster, controller) ->
+                                    FaultInjection.isolateFromWorkers(cluster, controller, 40_000));
             reconciledAtMs.add(
                     simulation
                                     .log
@@ -235,20 +220,13 @@
     void successorsCrashingDuringFailoverLoseNothing() {
         for (long seed = 0; seed < 9; seed++) {
             ClusterSimulation simulation =
-                    ClusterSimulationTest.simulate(
+                    simulate(
                             seed,
-                            InjectedDefect.NONE,
-                            List.of(
-                                    new Fault(
-                                            FAULT_MS,
-                                            cluster -> {
-                                                FaultInjection.crashNextSuccessors(cluster, 3);
-                                                FaultInjection.currentLeaders(cluster)
-                                                        .forEach(
-                                                                controller ->
-                                                                        controller.crash(100));
-                                            })));
-            assertEquals(List.of(), simulation.invariants.violations);
+                            cluster -> {
+                                FaultInjection.crashNextSuccessors(cluster, 3);
+                                FaultInjection.currentLeaders(cluster)
+                                        .forEach(controller -> controller.crash(100));
+                            });
             assertEquals(List.of(), simulation.users.unfinishedJobs());
             assertTrue(simulation.log.count(LogEventType.SHARD_ACQUIRED) > 3);
         }
