Test: nodes without gossip of the leader for long are not ready

The readiness that keeps users of a node that hears nothing of the leader from getting no answers was tested in PeerGossip only. JobStateDuringFailoverTest: 6 tests, green; the new one fails with the condition taken out of Node.isReady.

--- a/src/test/java/org/shoreusher/simulation/JobStateDuringFailoverTest.java
+++ b/src/test/java/org/shoreusher/simulation/JobStateDuringFailoverTest.java
@@ -1,8 +1,10 @@
 package org.shoreusher.simulation;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
 import java.util.TreeMap;
@@ -30,6 +32,9 @@
     /** ms; polls fail for so long at most when single messages are lost or late. */
     private static final long LOST_MESSAGE_MS = 1_000;
 
+    /** ms; longer than nodes stay ready without gossip of the leader. */
+    private static final long PEERS_PARTITIONED_MS = 35_000;
+
     /** By host, when the present spell without answers began, in ms. */
     private final Map<String, Long> unansweredSinceMs = new TreeMap<>();
 
@@ -148,4 +153,48 @@
             simulate(seed, Features.NONE, (simulation, leader) -> leader.pause(15_000));
         }
     }
+
+    /**
+     * Nodes that hear nothing of the leader for long are not ready, so that users reach the leader:
+     * the state of a job would otherwise stay unknown to those who ask the other nodes.
+     */
+    @Example
+    void nodesWithoutGossipOfTheLeaderAreNotReady() {
+        for (long seed = 0; seed < 8; seed++) {
+            List<String> notReady = new ArrayList<>();
+            List<String> notReadyAfterwards = new ArrayList<>();
+            String[] leaderHost = {null};
+            simulate(
+                    seed,
+                    Features.NONE,
+                    (simulation, leader) -> {
+                        leaderHost[0] = leader.host;
+                        simulation.controllers.forEach(
+                                other ->
+                                        simulation.network.partition(
+                                                leader.host, other.host, PEERS_PARTITIONED_MS));
+                        simulation.scheduleAfter(
+                                PEERS_PARTITIONED_MS - 1_000,
+                                () -> collectNotReady(simulation, notReady));
+                        simulation.scheduleAfter(
+                                PEERS_PARTITIONED_MS + 2_000,
+                                () -> collectNotReady(simulation, notReadyAfterwards));
+                    });
+            assertEquals(2, notReady.size(), "not ready: " + notReady);
+            assertFalse(notReady.contains(leaderHost[0]), "the leader is not ready");
+            assertEquals(List.of(), notReadyAfterwards);
+        }
+    }
+
+    private static void collectNotReady(ClusterSimulation simulation, List<String> hosts) {
+        simulation.controllers.forEach(
+                controller ->
+                        controller.request(
+                                Command.ReadinessCheck::new,
+                                response -> {
+                                    if (response.status() == ReplyStatus.SERVICE_UNAVAILABLE) {
+                                        hosts.add(controller.host);
+                                    }
+                                }));
+    }
 }
