--- a/review/kit-3/Refused.java
+++ b/review/kit-3/Refused.java
@@ -28,7 +28,7 @@
         Cloud.Type added = new Cloud.Type("octo-drafter", 8, 16, 0.40, 0.16, 2);
         List<String> zones = List.of("regina-east", "saskatoon-north");
         Cloud cloud =
-                new Cloud(zones, 30, 5_000, (box, t, yard, spot) -> History.newWorker(world, box, t, yard, spot), old);
+                new Cloud(zones, 30, 5_000, world::newWorker, old);
         AtomicInteger bothRead = new AtomicInteger();
         int cloudPort =
                 Http.serve(
@@ -65,7 +65,7 @@
         int before =
                 world.ask(asked, "/v2/runs", World.job("wk-000001", "zoning-desk", 1, 8, 16, 2), 5_000).status();
         if (before != 201
-                || !world.await("wk-000001 is done", 30, () -> History.is(world, "wk-000001", "done"))) {
+                || !world.await("wk-000001 is done", 30, () -> world.is("wk-000001", "done"))) {
             return 2;
         }
         if (trouble) {
@@ -91,6 +91,6 @@
             }
             return 1;
         }
-        return accepted && world.await("wk-000002 is done", 30, () -> History.is(world, "wk-000002", "done")) ? 0 : 2;
+        return accepted && world.await("wk-000002 is done", 30, () -> world.is("wk-000002", "done")) ? 0 : 2;
     }
 }
--- a/review/kit-3/World.java
+++ b/review/kit-3/World.java
@@ -322,6 +322,26 @@
         return job;
     }
 
+    Worker newWorker(String box, Cloud.Type type, String yard, boolean spot) {
+        try {
+            return new Worker(box, type, yard, spot, this);
+        } catch (Exception e) {
+            throw new IllegalStateException(e);
+        }
+    }
+
+    /** Whether a controller reports this status. */
+    boolean is(String job, String status) throws Exception {
+        for (int i = 0; i < controllers.size(); i++) {
+            Http.Answer answer = ask(i, "/v2/runs/" + job, null, 2_000);
+            if (answer.status() == 200 && status.equals(answer.text("status"))) {
+                return true;
+            }
+        }
+        Thread.sleep(1_000);
+        return false;
+    }
+
     static Map<String, Object> team(String name, double cpus, double cpusMax) {
         return Map.of("name", name, "cpus", cpus, "cpus_max", cpusMax, "gpus", 0.0, "gpus_max", 0.0);
     }
